Start the core: schemas, configuration, placement, limits, keys, membership

Cause: the project is empty; the whole path needs a platform-free core first. Change: schemas with generated types and validators, the decision core under src/common and the engine model that stand-in and experiments share. Ruled out: nothing measured yet.

--- /dev/null
+++ b/src/common/Errors.ts
@@ -0,0 +1,78 @@
+/** Errors that reach a caller: each code fixes the HTTP status and what the caller may conclude. */
+import type { Outcome } from './Types.js'
+
+interface CodeInfo {
+  readonly status: number
+  readonly outcome: Exclude<Outcome, 'answered'>
+  readonly meaning: string
+}
+
+/** Every refusal the system can make. Only codes of outcome `not-run` may be retried for non-idempotent work. */
+export const ERROR_CODES = {
+  invalid_request: { status: 400, outcome: 'not-run', meaning: 'The request is malformed.' },
+  invalid_api_key: { status: 401, outcome: 'not-run', meaning: 'The bearer key is missing or unknown.' },
+  model_not_found: { status: 404, outcome: 'not-run', meaning: 'No model of this name is served.' },
+  service_not_found: { status: 404, outcome: 'not-run', meaning: 'No service call of this name exists.' },
+  stream_not_found: { status: 404, outcome: 'outcome-unknown', meaning: 'No reachable engine keeps the stream of this request.' },
+  method_not_allowed: { status: 405, outcome: 'not-run', meaning: 'The route does not take this method.' },
+  deadline_passed: { status: 408, outcome: 'not-run', meaning: 'The deadline had passed before the work was sent.' },
+  key_conflict: { status: 422, outcome: 'not-run', meaning: 'The idempotency key was used with another request.' },
+  body_too_large: { status: 413, outcome: 'not-run', meaning: 'The body exceeds the limit.' },
+  rate_limited: { status: 429, outcome: 'not-run', meaning: 'The account is over its voted rate.' },
+  overloaded: { status: 503, outcome: 'not-run', meaning: 'The fleet is full; the request was shed by priority and share.' },
+  no_endpoint: { status: 503, outcome: 'not-run', meaning: 'No endpoint that serves this can be reached.' },
+  not_ready: { status: 503, outcome: 'not-run', meaning: 'The instance has no configuration in force yet.' },
+  placement_declined: { status: 503, outcome: 'not-run', meaning: 'The home of the endpoint declined the request.' },
+  endpoint_refused: { status: 503, outcome: 'not-run', meaning: 'The endpoint said that it did not run the request.' },
+  peer_unreachable: { status: 503, outcome: 'not-run', meaning: 'The peer could not be connected to; no byte was sent.' },
+  owner_cannot_vouch: { status: 409, outcome: 'outcome-unknown', meaning: 'No instance can vouch that this key did not run before.' },
+  ticket_lost: { status: 409, outcome: 'outcome-unknown', meaning: 'The instance that issued the ticket is gone.' },
+  response_lost: { status: 502, outcome: 'outcome-unknown', meaning: 'The request was sent but its answer was lost.' },
+  bad_endpoint_answer: { status: 502, outcome: 'outcome-unknown', meaning: 'The endpoint answered outside the protocol.' },
+  timed_out: { status: 504, outcome: 'outcome-unknown', meaning: 'No answer came within the deadline.' },
+  internal: { status: 500, outcome: 'outcome-unknown', meaning: 'The router failed.' }
+} as const satisfies Record<string, CodeInfo>
+
+export type ErrorCode = keyof typeof ERROR_CODES
+
+/** Step of a request at which an error arose. */
+export type Step = 'accept' | 'authenticate' | 'admit' | 'place' | 'own' | 'forward' | 'dispatch' | 'stream' | 'resume' | 'respond'
+
+/** Error of one request, with the step and the peer at which it arose. */
+export interface RouteError {
+  readonly code: ErrorCode
+  readonly step: Step
+  readonly peer: string
+  readonly detail: string
+  /** When a retry may succeed; absent when no time is known. */
+  readonly retryAfterMs?: number
+}
+
+/** Builds a `RouteError`. */
+export function routeError (code: ErrorCode, step: Step, peer: string, detail = '', retryAfterMs?: number): RouteError {
+  return retryAfterMs === undefined ? { code, step, peer, detail } : { code, step, peer, detail, retryAfterMs }
+}
+
+/** Outcome that a caller may conclude from an error. */
+export function outcomeOf (err: RouteError): Exclude<Outcome, 'answered'> {
+  return ERROR_CODES[err.code].outcome
+}
+
+/** Error in the shape of the chat-completions convention, with the outcome added. */
+export interface ErrorBody {
+  readonly error: {
+    readonly message: string
+    readonly type: string
+    readonly code: string
+    readonly param: null
+    readonly outcome: string
+  }
+}
+
+/** Body in the shape of the chat-completions convention. Peer and detail of internal steps stay in the log. */
+export function errorBody (err: RouteError): ErrorBody {
+  const info = ERROR_CODES[err.code]
+  const type = info.status < 500 ? 'invalid_request_error' : 'server_error'
+  const message = info.status < 500 && err.detail !== '' ? `${info.meaning} ${err.detail}` : info.meaning
+  return { error: { message, type, code: err.code, param: null, outcome: info.outcome } }
+}
--- /dev/null
+++ b/src/common/Rendezvous.ts
@@ -0,0 +1,40 @@
+/** Weighted rendezvous hashing: every node that knows the same candidates ranks them alike. */
+import { combine, hashString } from './Hash.js'
+
+/** A candidate with its hash worked out once, so that ranking allocates no strings. */
+export interface RendezvousCandidate {
+  readonly hash: number
+  /** Relative size; a candidate of weight 2 wins twice as many keys. */
+  readonly weight: number
+}
+
+/** Score of a candidate for a key; the highest wins. */
+export function rendezvousScore (keyHash: number, candidate: RendezvousCandidate): number {
+  const unit = (combine(keyHash, candidate.hash) + 0.5) / 4294967296
+  return -candidate.weight / Math.log(unit)
+}
+
+/** The `count` best candidates, best first. One pass with insertion, as `count` is small. */
+export function rankTop<T extends RendezvousCandidate> (keyHash: number, candidates: readonly T[], count: number): T[] {
+  const top: T[] = []
+  const scores: number[] = []
+  for (const candidate of candidates) {
+    const score = rendezvousScore(keyHash, candidate)
+    if (top.length === count && score <= scores[count - 1]!) continue
+    let at = top.length < count ? top.length : count - 1
+    while (at > 0 && scores[at - 1]! < score) {
+      top[at] = top[at - 1]!
+      scores[at] = scores[at - 1]!
+      at--
+    }
+    top[at] = candidate
+    scores[at] = score
+  }
+  return top
+}
+
+/** The instance that owns `key` among `ids`; undefined when there is none. */
+export function ownerOf (key: string, ids: readonly string[]): string | undefined {
+  const candidates = ids.map(id => ({ id, hash: hashString(id), weight: 1 }))
+  return rankTop(hashString(key, 0x27d4eb2f), candidates, 1)[0]?.id
+}
--- /dev/null
+++ b/src/common/config/ConfigJoin.ts
@@ -0,0 +1,35 @@
+/**
+ * The file in force as a join: the valid file of the highest platform revision seen anywhere.
+ * `joinVersions` is idempotent, commutative and associative, so that the order and number of
+ * deliveries do not matter.
+ */
+import type { VotedFile } from '../generated/VotedFile.js'
+import type { FieldError } from '../Schema.js'
+
+/** A valid file with the revision the platform gave it. */
+export interface ConfigVersion {
+  readonly revision: number
+  /** SHA-256 of the file's text, base64url. */
+  readonly digest: string
+  readonly file: VotedFile
+}
+
+/** Why a revision is not in force. */
+export interface RefusedVersion {
+  readonly revision: number
+  readonly digest: string
+  readonly errors: readonly FieldError[]
+}
+
+/** True when `a` goes before `b`; equal revisions (a platform that was reset) fall back on the digest. */
+export function supersedes (a: Pick<ConfigVersion, 'revision' | 'digest'>, b: Pick<ConfigVersion, 'revision' | 'digest'>): boolean {
+  if (a.revision !== b.revision) return a.revision > b.revision
+  return a.digest > b.digest
+}
+
+/** Least upper bound of two versions. */
+export function joinVersions<T extends Pick<ConfigVersion, 'revision' | 'digest'>> (a: T | undefined, b: T | undefined): T | undefined {
+  if (a === undefined) return b
+  if (b === undefined) return a
+  return supersedes(b, a) ? b : a
+}
--- /dev/null
+++ b/src/common/membership/Membership.ts
@@ -0,0 +1,358 @@
+/**
+ * Which instances live, as this node sees it: one probe an interval to a random member, indirect probes
+ * through others, suspicion before death, incarnation numbers to refute. The cost for a node does not grow
+ * with the fleet. Pure: takes datagrams and time in, gives datagrams out.
+ */
+import { DEAD_PROBE_INTERVAL_MS, DEAD_RETENTION_MS, PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, SLEEP_DETECT_MS, SUSPECT_TIMEOUT_MS } from '../Constants.js'
+import { Emitter } from '../Emitter.js'
+import type { InstanceDigest, MemberRumour, ProbeDatagram } from '../generated/PeerDatagram.js'
+import { digestOfSet } from '../Hash.js'
+import type { IRandom } from '../Services.js'
+import type { InstanceAddress, MemberState } from '../Types.js'
+
+const MAX_RUMOURS = 10 // keeps a datagram under 1,200 bytes
+const INDIRECT_PROBES = 2
+const URGENT_FANOUT = 3 // a death is pushed at once, so that spreading takes few intervals
+const SPREAD_FACTOR = 3 // sends of one rumour for each doubling of the fleet
+
+/** A member with what it last said of itself. */
+export interface Member extends InstanceAddress {
+  readonly incarnation: number
+  readonly state: MemberState
+  readonly since: number
+  readonly digest: InstanceDigest | undefined
+  /** When it was last heard directly. */
+  readonly heardAt: number
+}
+
+/** A datagram to send. */
+export interface Outgoing {
+  readonly to: InstanceAddress
+  readonly datagram: ProbeDatagram
+}
+
+/** Digest of this node for the next datagram; `members` and `incarnation` are filled in here. */
+export type DigestSource = () => Pick<InstanceDigest, 'configRevision' | 'configDigest' | 'loads'>
+
+interface Pending {
+  readonly target: string
+  readonly sentAt: number
+  indirect: boolean
+}
+
+interface Rumour {
+  readonly row: MemberRumour
+  sends: number
+}
+
+/** True when what is said of (incarnation, state) `a` goes before `b`. */
+export function overrides (a: Pick<MemberRumour, 'incarnation' | 'state'>, b: Pick<MemberRumour, 'incarnation' | 'state'>): boolean {
+  if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation
+  const rank = { alive: 0, suspect: 1, leaving: 2, dead: 3 } as const
+  return rank[a.state] > rank[b.state]
+}
+
+export class Membership {
+  readonly #self: InstanceAddress
+  readonly #random: IRandom
+  readonly #digest: DigestSource
+  readonly #members = new Map<string, Member>()
+  readonly #rumours = new Map<string, Rumour>()
+  readonly #pending = new Map<number, Pending>()
+  readonly #relayed = new Map<number, { readonly to: InstanceAddress, readonly seq: number, readonly at: number }>()
+  readonly #out: Outgoing[] = []
+  readonly #changed = new Emitter<Member>()
+  #incarnation: number
+  #leaving = false
+  #seq = 0
+  #round: string[] = []
+  #nextProbeAt = 0
+  #nextDeadProbeAt = 0
+  #lastTickAt = -Infinity
+  #membersHash: number | undefined
+
+  /** Fires when a member's state changes. */
+  readonly onChange = this.#changed.event
+
+  constructor (self: InstanceAddress, incarnation: number, random: IRandom, digest: DigestSource) {
+    this.#self = self
+    this.#incarnation = incarnation
+    this.#random = random
+    this.#digest = digest
+    this.#spread(this.#selfRumour('alive'))
+  }
+
+  get incarnation (): number {
+    return this.#incarnation
+  }
+
+  /** All known members but this node. */
+  get members (): readonly Member[] {
+    return [...this.#members.values()]
+  }
+
+  member (id: string): Member | undefined {
+    return this.#members.get(id)
+  }
+
+  /** Ids that may be given work, this node included unless it is leaving. Suspects count until declared dead. */
+  usable (dataCentre?: string): string[] {
+    const ids = this.#leaving || (dataCentre !== undefined && dataCentre !== this.#self.dataCentre) ? [] : [this.#self.id]
+    for (const m of this.#members.values()) {
+      if ((m.state === 'alive' || m.state === 'suspect') && (dataCentre === undefined || m.dataCentre === dataCentre)) ids.push(m.id)
+    }
+    return ids
+  }
+
+  /** Adds instances from the platform's list or the settings; they count as alive until probes say otherwise. */
+  learn (rows: readonly InstanceAddress[], now: number): void {
+    for (const row of rows) {
+      if (row.id === this.#self.id || this.#members.has(row.id)) continue
+      this.#apply({ id: row.id, dataCentre: row.dataCentre, address: row.address, peerPort: row.peerPort, incarnation: 0, state: 'alive' }, now)
+    }
+  }
+
+  /** The platform says that these instances are leaving. */
+  noteLeaving (id: string, now: number): void {
+    const m = this.#members.get(id)
+    if (m !== undefined && (m.state === 'alive' || m.state === 'suspect')) this.#apply(rumourOf(m, 'leaving'), now)
+  }
+
+  /** Announces that this node leaves. */
+  leave (): Outgoing[] {
+    this.#leaving = true
+    this.#spread(this.#selfRumour('leaving'))
+    this.#pushUrgent()
+    return this.#take()
+  }
+
+  /** Advances time: times out probes, ages suspects, sends the next probe. */
+  tick (now: number): Outgoing[] {
+    if (now - this.#lastTickAt > SLEEP_DETECT_MS && this.#lastTickAt > 0) this.#wake(now)
+    this.#lastTickAt = now
+    this.#expire(now)
+    if (now >= this.#nextProbeAt) {
+      this.#nextProbeAt = now + PROBE_INTERVAL_MS
+      this.#probeNext(now)
+    }
+    if (now >= this.#nextDeadProbeAt) {
+      this.#nextDeadProbeAt = now + DEAD_PROBE_INTERVAL_MS
+      this.#probeDead(now)
+    }
+    return this.#take()
+  }
+
+  /** Takes a datagram in. @param from address it came from, as its sender states it. */
+  receive (datagram: ProbeDatagram, now: number): Outgoing[] {
+    const before = this.#members.get(datagram.from.id)
+    for (const row of datagram.rumours) this.#apply(row, now)
+    this.#heard(datagram.from, now)
+    const sender = this.#members.get(datagram.from.id)
+    if (sender !== undefined) {
+      if (datagram.kind === 'ping') this.#send(sender, 'ack', datagram.seq, before === undefined || datagram.from.members !== this.membersHash())
+      if (datagram.kind === 'pingReq') this.#probeFor(datagram, sender, now)
+      if (datagram.kind === 'ack') this.#acked(datagram.seq)
+    }
+    return this.#take()
+  }
+
+  /** Hash of the members held alive; equal hashes mean equal views. */
+  membersHash (): number {
+    this.#membersHash ??= digestOfSet(this.usable())
+    return this.#membersHash
+  }
+
+  /** A process that slept distrusts its own view before others': probes in flight prove nothing. */
+  #wake (now: number): void {
+    this.#pending.clear()
+    for (const m of this.#members.values()) {
+      if (m.state === 'suspect') this.#members.set(m.id, { ...m, since: now })
+    }
+  }
+
+  #heard (digest: InstanceDigest, now: number): void {
+    const m = this.#members.get(digest.id)
+    if (m === undefined) return
+    const newer = digest.incarnation > m.incarnation
+    if (newer || (digest.incarnation === m.incarnation && m.state === 'suspect')) {
+      // heard directly from the process itself, so it lives; it refutes older rumours on its own
+      if (m.state !== 'leaving' || newer) this.#set({ ...m, incarnation: digest.incarnation, state: 'alive', since: now, digest, heardAt: now })
+      return
+    }
+    this.#members.set(m.id, { ...m, digest, heardAt: now })
+  }
+
+  #apply (row: MemberRumour, now: number): void {
+    if (row.id === this.#self.id) {
+      this.#refute(row)
+      return
+    }
+    const known = this.#members.get(row.id)
+    if (known !== undefined && !overrides(row, known)) return
+    if (known === undefined && row.state === 'dead') return
+    const m: Member = {
+      id: row.id,
+      dataCentre: row.dataCentre,
+      address: row.address,
+      peerPort: row.peerPort,
+      incarnation: row.incarnation,
+      state: row.state,
+      since: now,
+      digest: known?.digest,
+      heardAt: known?.heardAt ?? now
+    }
+    this.#set(m)
+    if (row.state === 'dead' || row.state === 'suspect') this.#pushUrgent()
+  }
+
+  #refute (row: MemberRumour): void {
+    if (row.incarnation < this.#incarnation || row.state === 'alive') return
+    if (row.state === 'leaving' && this.#leaving) return
+    this.#incarnation = row.incarnation + 1
+    this.#spread(this.#selfRumour(this.#leaving ? 'leaving' : 'alive'))
+    this.#pushUrgent()
+  }
+
+  #set (m: Member): void {
+    const old = this.#members.get(m.id)
+    this.#members.set(m.id, m)
+    if (old?.state === m.state && old.incarnation === m.incarnation) return
+    this.#membersHash = undefined
+    this.#spread(rumourOf(m, m.state))
+    if (old?.state !== m.state) this.#changed.fire(m)
+  }
+
+  #expire (now: number): void {
+    for (const [seq, probe] of this.#pending) {
+      const age = now - probe.sentAt
+      if (!probe.indirect && age >= PROBE_TIMEOUT_MS / 2) this.#probeIndirectly(seq, probe)
+      if (age < PROBE_TIMEOUT_MS) continue
+      this.#pending.delete(seq)
+      const m = this.#members.get(probe.target)
+      if (m?.state === 'alive') this.#suspect(m, now)
+    }
+    for (const m of [...this.#members.values()]) {
+      if (m.state === 'suspect' && now - m.since >= SUSPECT_TIMEOUT_MS) this.#apply(rumourOf(m, 'dead'), now)
+      if ((m.state === 'dead' || m.state === 'leaving') && now - m.since > DEAD_RETENTION_MS) {
+        this.#members.delete(m.id)
+        this.#rumours.delete(m.id)
+      }
+    }
+    for (const [seq, relay] of this.#relayed) {
+      if (now - relay.at > PROBE_TIMEOUT_MS * 2) this.#relayed.delete(seq)
+    }
+  }
+
+  #suspect (m: Member, now: number): void {
+    this.#apply(rumourOf(m, 'suspect'), now)
+  }
+
+  #probeNext (now: number): void {
+    while (this.#round.length > 0) {
+      const m = this.#members.get(this.#round.pop()!)
+      if (m === undefined || m.state === 'dead') continue
+      this.#probe(m, now)
+      return
+    }
+    this.#round = this.#shuffled([...this.#members.values()].filter(m => m.state !== 'dead').map(m => m.id))
+    const first = this.#members.get(this.#round.pop() ?? '')
+    if (first !== undefined) this.#probe(first, now)
+  }
+
+  /** Finds the other side again after a partition. */
+  #probeDead (now: number): void {
+    const dead = [...this.#members.values()].filter(m => m.state === 'dead')
+    const m = dead[Math.floor(this.#random.next() * dead.length)]
+    if (m !== undefined) this.#probe(m, now)
+  }
+
+  #probe (m: Member, now: number): void {
+    const seq = ++this.#seq
+    this.#pending.set(seq, { target: m.id, sentAt: now, indirect: false })
+    this.#send(m, 'ping', seq, m.state === 'dead')
+  }
+
+  #probeIndirectly (seq: number, probe: Pending): void {
+    probe.indirect = true
+    const helpers = this.#shuffled(this.usable().filter(id => id !== this.#self.id && id !== probe.target)).slice(0, INDIRECT_PROBES)
+    for (const id of helpers) {
+      const helper = this.#members.get(id)
+      if (helper !== undefined) this.#send(helper, 'pingReq', seq, false, probe.target)
+    }
+  }
+
+  #probeFor (datagram: ProbeDatagram, asker: Member, now: number): void {
+    const target = this.#members.get(datagram.target ?? '')
+    if (target === undefined) return
+    const seq = ++this.#seq
+    this.#relayed.set(seq, { to: asker, seq: datagram.seq, at: now })
+    this.#send(target, 'ping', seq, false)
+  }
+
+  #acked (seq: number): void {
+    this.#pending.delete(seq)
+    const relay = this.#relayed.get(seq)
+    if (relay === undefined) return
+    this.#relayed.delete(seq)
+    this.#send(relay.to, 'ack', relay.seq, false)
+  }
+
+  #send (to: InstanceAddress, kind: ProbeDatagram['kind'], seq: number, full: boolean, target = ''): void {
+    const rumours = full ? this.#sample() : this.#nextRumours()
+    const held = this.#members.get(to.id)
+    if (held !== undefined && held.state !== 'alive') rumours.push(rumourOf(held, held.state)) // lets it refute
+    const from = { id: this.#self.id, incarnation: this.#incarnation, members: this.membersHash(), ...this.#digest() }
+    this.#out.push({ to, datagram: { kind, seq, target, from, rumours } })
+  }
+
+  #spread (row: MemberRumour): void {
+    this.#rumours.set(row.id, { row, sends: 0 })
+  }
+
+  /** The rumours sent least often; each is dropped after a number of sends that reaches all with high probability. */
+  #nextRumours (): MemberRumour[] {
+    if (this.#rumours.size === 0) return []
+    const limit = SPREAD_FACTOR * Math.ceil(Math.log2(this.#members.size + 2))
+    const next = [...this.#rumours.values()].sort((a, b) => a.sends - b.sends).slice(0, MAX_RUMOURS)
+    for (const rumour of next) {
+      if (++rumour.sends >= limit) this.#rumours.delete(rumour.row.id)
+    }
+    return next.map(r => r.row)
+  }
+
+  /** Rows for a peer with another view: this node, then random members. */
+  #sample (): MemberRumour[] {
+    const rows = this.#shuffled([...this.#members.values()]).slice(0, MAX_RUMOURS - 1).map(m => rumourOf(m, m.state))
+    return [this.#selfRumour(this.#leaving ? 'leaving' : 'alive'), ...rows]
+  }
+
+  #pushUrgent (): void {
+    const targets = this.#shuffled(this.usable().filter(id => id !== this.#self.id)).slice(0, URGENT_FANOUT)
+    for (const id of targets) {
+      const m = this.#members.get(id)
+      if (m !== undefined) this.#send(m, 'ping', ++this.#seq, false)
+    }
+  }
+
+  #selfRumour (state: MemberState): MemberRumour {
+    return { ...rumourOf({ ...this.#self, incarnation: this.#incarnation }, state) }
+  }
+
+  #shuffled<T> (items: T[]): T[] {
+    for (let i = items.length - 1; i > 0; i--) {
+      const j = Math.floor(this.#random.next() * (i + 1))
+      const item = items[i]!
+      items[i] = items[j]!
+      items[j] = item
+    }
+    return items
+  }
+
+  #take (): Outgoing[] {
+    return this.#out.splice(0)
+  }
+}
+
+function rumourOf (m: InstanceAddress & { readonly incarnation: number }, state: MemberState): MemberRumour {
+  return { id: m.id, dataCentre: m.dataCentre, address: m.address, peerPort: m.peerPort, incarnation: m.incarnation, state }
+}
--- /dev/null
+++ b/src/common/once/KeyLease.ts
@@ -0,0 +1,123 @@
+/**
+ * Right of an instance to act as the owner of idempotency keys, with no store and no consensus group.
+ *
+ * Every instance of a data centre acts upon the platform's list of that data centre's instances. An owner
+ * needs, from every peer on its list, a recent consent to exactly that list. Two lists that share a running
+ * peer can't both have consent: the peer consents to one list at a time, and a new consent counts only
+ * after the old one has run out. A key that carries the time at which it was minted is vouched for only when
+ * it was minted after every earlier owner had lost its right; any other unseen key is outcome-unknown.
+ *
+ * Pure functions over immutable state; the model checker runs the same functions. Times are monotonic
+ * milliseconds of the node itself.
+ */
+
+/** Consents of one peer to the current list: send times of the first and last acknowledged requests. */
+export interface PeerConsent {
+  readonly first: number
+  readonly last: number
+}
+
+/** Ownership under the list before the current one, for keys whose owner stays the same. */
+interface Predecessor {
+  readonly list: readonly string[]
+  readonly vouchFrom: number
+  readonly last: Readonly<Record<string, number>>
+}
+
+export interface KeyLease {
+  readonly self: string
+  readonly list: readonly string[]
+  readonly listAt: number
+  readonly consents: Readonly<Record<string, PeerConsent>>
+  readonly predecessor: Predecessor | undefined
+}
+
+/** Durations; the model uses small ones. */
+export interface LeaseTimes {
+  readonly leaseMs: number
+}
+
+/** Which instance owns a key among a list. */
+export type KeyOwnerFunction = (key: string, list: readonly string[]) => string | undefined
+
+/** Right to act for a key. */
+export interface KeyRight {
+  /** True when this node may act as the owner now. */
+  readonly mayAct: boolean
+  /** Keys minted before this time can't be vouched for. */
+  readonly vouchFrom: number
+}
+
+const NO_RIGHT: KeyRight = { mayAct: false, vouchFrom: Infinity }
+
+/** State of a node that has seen no list. */
+export function initialLease (self: string): KeyLease {
+  return { self, list: [], listAt: 0, consents: {}, predecessor: undefined }
+}
+
+function sameList (a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every((id, i) => id === b[i])
+}
+
+function peersOf (lease: KeyLease): string[] {
+  return lease.list.filter(id => id !== lease.self)
+}
+
+/** Time of the newest first consent: from then on all peers have consented to the list. */
+function agreedAt (lease: KeyLease): number {
+  return peersOf(lease).reduce((latest, id) => Math.max(latest, lease.consents[id]?.first ?? Infinity), lease.listAt)
+}
+
+/** Start of the time for which the node can vouch for keys under the current list alone. */
+function ownVouchFrom (lease: KeyLease, times: LeaseTimes): number {
+  return agreedAt(lease) + times.leaseMs
+}
+
+/** Takes in the list of the data centre's instances; ids need not be sorted. */
+export function withList (lease: KeyLease, ids: readonly string[], now: number, times: LeaseTimes): KeyLease {
+  const list = [...ids].sort()
+  if (sameList(list, lease.list)) return lease
+  const last: Record<string, number> = {}
+  for (const [id, consent] of Object.entries(lease.consents)) last[id] = consent.last
+  const vouchFrom = ownVouchFrom(lease, times)
+  const predecessor = lease.list.includes(lease.self) && vouchFrom < Infinity ? { list: lease.list, vouchFrom, last } : undefined
+  return { self: lease.self, list, listAt: now, consents: {}, predecessor }
+}
+
+/** Takes in a peer's consent to the current list, for a request sent at `sentAt`. */
+export function withConsent (lease: KeyLease, peer: string, sentAt: number, times: LeaseTimes): KeyLease {
+  if (!lease.list.includes(peer) || sentAt < lease.listAt) return lease
+  const old = lease.consents[peer]
+  if (old !== undefined && sentAt <= old.last) return lease
+  const lapsed = old === undefined || sentAt - old.last >= times.leaseMs
+  const consent = { first: lapsed ? sentAt : old.first, last: sentAt }
+  return { ...lease, consents: { ...lease.consents, [peer]: consent } }
+}
+
+function allRecent (lease: KeyLease, now: number, times: LeaseTimes): boolean {
+  return peersOf(lease).every(id => now - (lease.consents[id]?.last ?? -Infinity) < times.leaseMs)
+}
+
+/** True when every consent has been held long enough for consents to any other list to have run out. */
+function settled (lease: KeyLease, now: number, times: LeaseTimes): boolean {
+  const from = ownVouchFrom(lease, times)
+  if (lease.list.length === 1) return now >= from
+  return peersOf(lease).every(id => (lease.consents[id]?.last ?? -Infinity) >= from)
+}
+
+/** True when no other node can have gained the key between the two lists. */
+function continues (lease: KeyLease, key: string, owner: KeyOwnerFunction, times: LeaseTimes): boolean {
+  const before = lease.predecessor
+  if (before === undefined || owner(key, before.list) !== lease.self) return false
+  const shared = peersOf(lease).filter(id => before.list.includes(id))
+  if (shared.length === 0) return false
+  return shared.every(id => (lease.consents[id]?.first ?? Infinity) - (before.last[id] ?? -Infinity) < times.leaseMs)
+}
+
+/** The node's right to act for a key now. */
+export function keyRight (lease: KeyLease, key: string, now: number, owner: KeyOwnerFunction, times: LeaseTimes): KeyRight {
+  if (owner(key, lease.list) !== lease.self || !allRecent(lease, now, times)) return NO_RIGHT
+  if (continues(lease, key, owner, times)) return { mayAct: true, vouchFrom: lease.predecessor!.vouchFrom }
+  if (!settled(lease, now, times)) return NO_RIGHT
+  return { mayAct: true, vouchFrom: ownVouchFrom(lease, times) }
+}
--- /dev/null
+++ b/src/common/placement/LoadView.ts
@@ -0,0 +1,61 @@
+/**
+ * What one node knows of the engines' outstanding work: exact for the engines it is home of, sampled from
+ * peers for the others. The mean over a uniform sample of peers estimates the mean over all engines.
+ */
+import { DIGEST_FRESH_MS } from '../Constants.js'
+import type { RendezvousCandidate } from '../Rendezvous.js'
+
+/** Work that marks an engine which takes no new work. */
+export const UNAVAILABLE = -1
+
+interface Sample {
+  readonly work: number
+  readonly at: number
+}
+
+/** Read side of the view, as placement uses it. */
+export interface ILoadView {
+  /** Outstanding work in decode tokens; undefined when no fresh sample is known; UNAVAILABLE when closed. */
+  work (endpointHash: number, now: number): number | undefined
+  /** Mean work per unit of weight over the candidates with a fresh sample. */
+  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number
+}
+
+export class LoadView implements ILoadView {
+  readonly #samples = new Map<number, Sample>()
+  readonly #freshMs: number
+
+  constructor (freshMs: number = DIGEST_FRESH_MS) {
+    this.#freshMs = freshMs
+  }
+
+  /** Records a sample; a later call goes before an earlier one. */
+  record (endpointHash: number, work: number, now: number): void {
+    this.#samples.set(endpointHash, { work, at: now })
+  }
+
+  work (endpointHash: number, now: number): number | undefined {
+    const sample = this.#samples.get(endpointHash)
+    if (sample === undefined || now - sample.at > this.#freshMs) return undefined
+    return sample.work
+  }
+
+  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number {
+    let work = 0
+    let weight = 0
+    for (const candidate of candidates) {
+      const known = this.work(candidate.hash, now)
+      if (known === undefined || known === UNAVAILABLE) continue
+      work += known
+      weight += candidate.weight
+    }
+    return weight === 0 ? 0 : work / weight
+  }
+
+  /** Forgets samples that no longer count, so that departed engines hold no memory. */
+  prune (now: number): void {
+    for (const [hash, sample] of this.#samples) {
+      if (now - sample.at > this.#freshMs * 4) this.#samples.delete(hash)
+    }
+  }
+}
--- /dev/null
+++ b/src/common/sse/SseFramer.ts
@@ -0,0 +1,60 @@
+/** Cuts a byte stream into whole server-sent events without parsing them. */
+
+const LF = 10
+const DONE = new TextEncoder().encode('data: [DONE]\n\n')
+
+/** Whole events found in a chunk. */
+export interface SseFrame {
+  /** Bytes up to the end of the last whole event; a view of the input where possible. */
+  readonly bytes: Uint8Array
+  /** Number of whole events in `bytes`, the end marker included. */
+  readonly events: number
+  /** True when the last event is the `[DONE]` marker. */
+  readonly done: boolean
+}
+
+function endsWithDone (bytes: Uint8Array, end: number): boolean {
+  if (end < DONE.length) return false
+  const start = end - DONE.length
+  for (let i = 0; i < DONE.length; i++) {
+    if (bytes[start + i] !== DONE[i]) return false
+  }
+  return true
+}
+
+/** Holds back the unfinished tail, so that what is passed on always ends between two events. */
+export class SseFramer {
+  #tail: Uint8Array | undefined
+
+  /** Bytes of an unfinished event that are held back. */
+  get pendingBytes (): number {
+    return this.#tail?.length ?? 0
+  }
+
+  push (chunk: Uint8Array): SseFrame {
+    const input = this.#join(chunk)
+    let events = 0
+    let end = 0
+    for (let at = input.indexOf(LF); at >= 0; at = input.indexOf(LF, at + 1)) {
+      if (input[at + 1] !== LF) continue
+      events++
+      at++
+      end = at + 1
+    }
+    this.#tail = end === input.length ? undefined : input.subarray(end)
+    return { bytes: input.subarray(0, end), events, done: endsWithDone(input, end) }
+  }
+
+  /** Drops an unfinished event, as a resumed stream sends it again. */
+  reset (): void {
+    this.#tail = undefined
+  }
+
+  #join (chunk: Uint8Array): Uint8Array {
+    if (this.#tail === undefined) return chunk
+    const joined = new Uint8Array(this.#tail.length + chunk.length)
+    joined.set(this.#tail)
+    joined.set(chunk, this.#tail.length)
+    return joined
+  }
+}
--- /dev/null
+++ b/src/enginemodel/Answer.ts
@@ -0,0 +1,47 @@
+/** Deterministic answers: the text follows from the request, so a caller can tell its own answer from any other. */
+import type { ChatRequest } from '../common/generated/ChatRequest.js'
+import { combine, hashString } from '../common/Hash.js'
+import { contentText, estimateTokens } from '../common/placement/ChatKey.js'
+import type { PromptPiece } from './PrefixCache.js'
+
+const DEFAULT_ANSWER_TOKENS = 64
+
+/** Number of tokens that the model answers with. */
+export function answerLength (req: ChatRequest): number {
+  return req.max_completion_tokens ?? req.max_tokens ?? DEFAULT_ANSWER_TOKENS
+}
+
+/** Seed of the answer: the whole conversation and the caller's own mark. */
+export function answerSeed (req: ChatRequest): number {
+  const text = req.messages.map(m => contentText(m.content)).join('\n')
+  return hashString(`${req.user ?? ''}\n${text}`)
+}
+
+/** Token number `index` of an answer; four characters with the blank. */
+export function answerToken (seed: number, index: number): string {
+  return `${(combine(seed, index) % 46656).toString(36).padStart(3, 'z')} `
+}
+
+/** The whole answer. */
+export function answerText (req: ChatRequest): string {
+  const seed = answerSeed(req)
+  let text = ''
+  for (let i = 0; i < answerLength(req); i++) text += answerToken(seed, i)
+  return text
+}
+
+/** Pieces of a prompt with running hashes. */
+export function promptPieces (req: ChatRequest): PromptPiece[] {
+  let hash = hashString(req.model)
+  return req.messages.map(m => {
+    const text = contentText(m.content)
+    hash = combine(hash, hashString(`${m.role}:${text}`))
+    return { hash, tokens: Math.max(1, estimateTokens(text)) }
+  })
+}
+
+/** The piece that an answer adds to its prompt. */
+export function answerPiece (prompt: readonly PromptPiece[], text: string): PromptPiece {
+  const last = prompt[prompt.length - 1]?.hash ?? 0
+  return { hash: combine(last, hashString(`assistant:${text}`)), tokens: Math.max(1, estimateTokens(text)) }
+}
