--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,11 +8,11 @@
   router: [],
   standin: ['enginemodel'],
   load: ['enginemodel'],
-  ctl: [],
+  ctl: ['router'],
   model: [],
-  tools: ['enginemodel', 'load'],
-  experiment: ['enginemodel', 'tools', 'load'],
-  bench: ['enginemodel', 'tools', 'load']
+  tools: ['enginemodel', 'load', 'standin', 'router'],
+  experiment: ['enginemodel', 'tools', 'load', 'router'],
+  bench: ['enginemodel', 'tools', 'load', 'router']
 }
 
 const layers = Object.entries(allowed).map(([folder, more]) => ({
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -15,6 +15,7 @@
   const code = await compile(structuredClone(schema), schema.title, {
     bannerComment: '// Generated from schemas/ by scripts/generate.mjs; do not edit.',
     additionalProperties: schema.additionalProperties !== false,
+    ignoreMinAndMaxItems: true,
     style: { semi: false, singleQuote: true }
   })
   return code.replace(/^( +)(?!\*|\/)(\[?"?[\w$]+"?\??:)/gm, '$1readonly $2').replace(/: (\w+)\[\]/g, ': readonly $1[]')
--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -33,5 +33,5 @@
   idempotencyKey: 'idempotency-key',
   lastEventId: 'last-event-id',
   traceparent: 'traceparent',
-  account: 'x-account'
+  neverRepeat: 'x-radishloft-never-repeat'
 } as const
--- /dev/null
+++ b/src/common/SeededRandom.ts
@@ -0,0 +1,26 @@
+/** Seeded random numbers, so that runs can be repeated. */
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { IRandom } from './Services.js'
+
+export class SeededRandom implements IRandom {
+  readonly #rng: RandomGenerator
+
+  constructor (seed: number) {
+    this.#rng = xoroshiro128plus(seed)
+  }
+
+  next (): number {
+    return (this.#rng.next() >>> 0) / 4294967296
+  }
+
+  /** Whole number from 0 to `limit` - 1. */
+  below (limit: number): number {
+    return Math.floor(this.next() * limit)
+  }
+
+  /** Exponentially distributed with this mean. */
+  exponential (mean: number): number {
+    return -mean * Math.log(1 - this.next())
+  }
+}
--- a/src/common/limits/AllowanceOwner.ts
+++ b/src/common/limits/AllowanceOwner.ts
@@ -1,8 +1,8 @@
 /**
  * Owner side of account limits: one bucket for each client account, held by the account's owner (rendezvous
  * over the live instances). Entries take whole admissions from it, so the fleet-wide rate is exact while the
- * owner can be reached. A new owner starts each bucket with one
- * admission, not a full burst, so a change of owner admits hardly anything twice.
+ * owner can be reached. A new owner starts with full buckets, so a
+ * change of owner admits at most one burst (a second's worth) above the rate.
  */
 import { TokenBucket } from './TokenBucket.js'
 
@@ -23,7 +23,7 @@
     const burst = Math.max(1, rate * BURST_SEC)
     let held = this.#held.get(account)
     if (held === undefined) {
-      held = { bucket: new TokenBucket(rate, burst, now, 1), usedAt: now }
+      held = { bucket: new TokenBucket(rate, burst, now), usedAt: now }
       this.#held.set(account, held)
     }
     held.usedAt = now
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -118,6 +118,13 @@
     if (m !== undefined && (m.state === 'alive' || m.state === 'suspect')) this.#apply(rumourOf(m, 'leaving'), now)
   }
 
+  /** Sends this node's digest to a few members at once, when it has news that should spread fast. */
+  announce (now: number): Outgoing[] {
+    this.#nextProbeAt = Math.min(this.#nextProbeAt, now)
+    this.#pushUrgent()
+    return this.#take()
+  }
+
   /** Announces that this node leaves. */
   leave (): Outgoing[] {
     this.#leaving = true
--- a/src/common/once/KeyNames.ts
+++ b/src/common/once/KeyNames.ts
@@ -32,3 +32,8 @@
   for (const c of key.slice(0, 10)) time = time * 32 + CROCKFORD.indexOf(c)
   return time
 }
+
+/** Name of a key in the ledger: keys of different accounts never meet. */
+export function scopedKey (account: string, key: string): string {
+  return `${account}\n${key}`
+}
--- a/src/common/placement/EndpointLoad.ts
+++ b/src/common/placement/EndpointLoad.ts
@@ -104,6 +104,11 @@
     this.#failures = 0
   }
 
+  /** True when no report came for `timeoutMs`. */
+  silent (now: number, timeoutMs: number): boolean {
+    return now - this.#heardAt > timeoutMs
+  }
+
   /** True when new work may be sent. */
   open (now: number): boolean {
     return !this.#leaving && now >= this.#closedUntil && now - this.#heardAt <= ENDPOINT_LOAD_TIMEOUT_MS
--- /dev/null
+++ b/src/load/Balancer.ts
@@ -0,0 +1,49 @@
+/** Plays the platform's balancer for callers: spreads requests over the entries whose health check passes. */
+import { request, type Agent } from 'undici'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { IRandom } from '../common/Services.js'
+
+const CHECK_INTERVAL_MS = 250
+const CHECK_TIMEOUT_MS = 400
+
+export class Balancer extends Disposable {
+  readonly #entries: string[]
+  readonly #healthy = new Set<string>()
+  readonly #random: IRandom
+  readonly #agent: Agent
+
+  /** @param entries base URLs. */
+  constructor (entries: readonly string[], random: IRandom, agent: Agent) {
+    super()
+    this.#entries = [...entries]
+    this.#random = random
+    this.#agent = agent
+    const timer = setInterval(() => { this.check().catch(() => {}) }, CHECK_INTERVAL_MS)
+    this.own(toDisposable(() => clearInterval(timer)))
+  }
+
+  get healthy (): number {
+    return this.#healthy.size
+  }
+
+  /** Checks all entries once. */
+  async check (): Promise<void> {
+    await Promise.all(this.#entries.map(async entry => {
+      try {
+        const res = await request(`${entry}/readyz`, { dispatcher: this.#agent, headersTimeout: CHECK_TIMEOUT_MS, bodyTimeout: CHECK_TIMEOUT_MS })
+        await res.body.dump()
+        if (res.statusCode === 200) this.#healthy.add(entry)
+        else this.#healthy.delete(entry)
+      } catch {
+        this.#healthy.delete(entry)
+      }
+    }))
+  }
+
+  /** An entry to send to; another than `avoid` where there is one. */
+  pick (avoid?: string): string {
+    const healthy = [...this.#healthy].filter(e => e !== avoid)
+    const from = healthy.length > 0 ? healthy : this.#entries
+    return from[Math.floor(this.#random.next() * from.length)]!
+  }
+}
--- /dev/null
+++ b/src/load/ChatCaller.ts
@@ -0,0 +1,161 @@
+/** Caller of streamed chats: checks that the answer is whole and its own, and reads on elsewhere when its connection breaks. */
+import type { Dispatcher } from 'undici'
+import { HEADER } from '../common/Constants.js'
+import type { ChatRequest } from '../common/generated/ChatRequest.js'
+import type { Outcome } from '../common/Types.js'
+import { answerText } from '../enginemodel/Answer.js'
+import type { Balancer } from './Balancer.js'
+import type { CallResult } from './Types.js'
+
+const MAX_RESUMES = 8
+const RESUME_DELAY_MS = 200
+const REQUEST_TIMEOUT_MS = 60_000
+
+interface Progress {
+  requestId: string
+  lastEventId: number
+  text: string
+  done: boolean
+  /** Event ids came in order, without gap or duplicate. */
+  ordered: boolean
+  firstTokenMs: number
+  lastEventAt: number
+  maxGapMs: number
+}
+
+interface Attempt {
+  readonly kind: 'done' | 'cut' | 'refused' | 'unsent'
+  readonly outcome: Outcome
+  readonly code: string
+}
+
+/** Sends chats for one account. */
+export class ChatCaller {
+  readonly #agent: Dispatcher
+  readonly #balancer: Balancer
+  readonly #key: string
+
+  constructor (agent: Dispatcher, balancer: Balancer, key: string) {
+    this.#agent = agent
+    this.#balancer = balancer
+    this.#key = key
+  }
+
+  /** Runs one chat to its end. */
+  async chat (account: string, req: ChatRequest, headers: Readonly<Record<string, string>> = {}): Promise<CallResult> {
+    const started = performance.now()
+    const progress: Progress = { requestId: '', lastEventId: 0, text: '', done: false, ordered: true, firstTokenMs: 0, lastEventAt: started, maxGapMs: 0 }
+    const body = JSON.stringify({ ...req, stream: true })
+    let entry = this.#balancer.pick()
+    let attempt = await this.#send(entry, '/v1/chat/completions', 'POST', body, headers, progress, started)
+    let cuts = 0
+    for (let i = 0; i < MAX_RESUMES && attempt.kind !== 'done'; i++) {
+      if (attempt.kind === 'refused' && i >= cuts) break
+      if (attempt.kind === 'cut') cuts++
+      await new Promise(resolve => setTimeout(resolve, RESUME_DELAY_MS))
+      entry = this.#balancer.pick(entry)
+      attempt = progress.requestId === ''
+        ? await this.#send(entry, '/v1/chat/completions', 'POST', body, headers, progress, started)
+        : await this.#send(entry, `/v1/chat/streams/${progress.requestId}`, 'GET', undefined, { [HEADER.lastEventId]: String(progress.lastEventId) }, progress, started)
+    }
+    return {
+      outcome: attempt.kind === 'done' ? 'answered' : attempt.outcome,
+      code: attempt.code,
+      account,
+      correct: attempt.kind === 'done' && progress.ordered && progress.text === answerText(req),
+      text: progress.text,
+      cuts,
+      firstTokenMs: progress.firstTokenMs,
+      totalMs: performance.now() - started,
+      maxGapMs: progress.maxGapMs,
+      tokens: progress.lastEventId,
+      entry
+    }
+  }
+
+  async #send (entry: string, path: string, method: 'GET' | 'POST', body: string | undefined, headers: Readonly<Record<string, string>>, progress: Progress, started: number): Promise<Attempt> {
+    let sent = false
+    return await new Promise(resolve => {
+      let status = 0
+      let text = ''
+      let outcome: Outcome = 'outcome-unknown'
+      const reader = new EventReader(progress, started)
+      this.#agent.dispatch({
+        origin: entry,
+        path,
+        method,
+        headers: { authorization: `Bearer ${this.#key}`, 'content-type': 'application/json', ...headers },
+        body: body ?? null,
+        headersTimeout: REQUEST_TIMEOUT_MS,
+        bodyTimeout: REQUEST_TIMEOUT_MS
+      }, {
+        onRequestStart: () => { sent = true },
+        onResponseStart: (_c, code, head) => {
+          status = code
+          outcome = (head[HEADER.outcome] as Outcome | undefined) ?? outcome
+          if (code === 200) progress.requestId = String(head[HEADER.requestId] ?? progress.requestId)
+        },
+        onResponseData: (_c, chunk) => {
+          if (status === 200) reader.push(chunk.toString())
+          else text += chunk.toString()
+        },
+        onResponseEnd: () => {
+          if (status !== 200) resolve({ kind: 'refused', outcome, code: codeOf(text) })
+          else if (progress.done) resolve({ kind: 'done', outcome: 'answered', code: '' })
+          else resolve({ kind: reader.error === '' ? 'cut' : 'refused', outcome: 'outcome-unknown', code: reader.error })
+        },
+        onResponseError: (_c, e) => resolve({ kind: sent ? 'cut' : 'unsent', outcome: sent ? 'outcome-unknown' : 'not-run', code: e.message })
+      })
+    })
+  }
+}
+
+/** Reads events into the progress. */
+class EventReader {
+  readonly #progress: Progress
+  readonly #started: number
+  #tail = ''
+  error = ''
+
+  constructor (progress: Progress, started: number) {
+    this.#progress = progress
+    this.#started = started
+  }
+
+  push (chunk: string): void {
+    const events = (this.#tail + chunk).split('\n\n')
+    this.#tail = events.pop()!
+    for (const event of events) this.#take(event)
+  }
+
+  #take (event: string): void {
+    const progress = this.#progress
+    const now = performance.now()
+    const id = Number(/^id: (\d+)$/m.exec(event)?.[1] ?? 0)
+    const data = /^data: (.*)$/m.exec(event)?.[1] ?? ''
+    if (id === 0) {
+      this.error = codeOf(data)
+      return
+    }
+    if (id !== progress.lastEventId + 1) progress.ordered = false
+    if (progress.lastEventId === 0) progress.firstTokenMs = now - this.#started
+    else progress.maxGapMs = Math.max(progress.maxGapMs, now - progress.lastEventAt)
+    progress.lastEventAt = now
+    progress.lastEventId = id
+    if (data === '[DONE]') {
+      progress.done = true
+      return
+    }
+    const chunk = JSON.parse(data) as { readonly choices: ReadonlyArray<{ readonly delta: { readonly content?: string } }> }
+    progress.text += chunk.choices[0]?.delta.content ?? ''
+  }
+}
+
+/** Code of an error body. */
+export function codeOf (text: string): string {
+  try {
+    return String((JSON.parse(text) as { readonly error: { readonly code: string } }).error.code)
+  } catch {
+    return 'unreadable'
+  }
+}
--- /dev/null
+++ b/src/load/LoadRunner.ts
@@ -0,0 +1,175 @@
+/** Drives returning chats and marked calls against a fleet for a time, and counts what the callers saw. */
+import { Agent } from 'undici'
+import type { ChatRequest } from '../common/generated/ChatRequest.js'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { Balancer } from './Balancer.js'
+import { ChatCaller } from './ChatCaller.js'
+import { mintKey, ServiceCaller } from './ServiceCaller.js'
+import type { CallResult } from './Types.js'
+
+const RETRY_AFTER_MS = 300
+
+/** An account that calls. */
+export interface LoadAccount {
+  readonly id: string
+  readonly key: string
+  /** Part of the chats, relative to the other accounts. */
+  readonly weight: number
+}
+
+/** What to drive. */
+export interface LoadPlan {
+  readonly entries: readonly string[]
+  readonly accounts: readonly LoadAccount[]
+  readonly model: string
+  readonly service: string
+  readonly path: string
+  readonly chats: number
+  readonly callers: number
+  readonly seconds: number
+  readonly seed: number
+  /** Length of a pause between two turns. */
+  readonly pauseMs: number
+  readonly promptChars: number
+  readonly answerTokens: number
+}
+
+/** Counts of a run. */
+export interface LoadCounts {
+  requests: number
+  answered: number
+  notRun: number
+  outcomeUnknown: number
+  wrongAnswers: number
+  /** Answers that never became whole. */
+  cutStreams: number
+  /** Answers that were read on through another entry. */
+  resumed: number
+  readonly calls: Map<string, 'answered' | 'not-run' | 'outcome-unknown'>
+  readonly firstTokenMs: number[]
+  readonly failures: string[]
+}
+
+interface Chat {
+  readonly id: string
+  readonly account: LoadAccount
+  messages: ChatRequest['messages']
+  turn: number
+}
+
+export class LoadRunner {
+  readonly #plan: LoadPlan
+  readonly #random: SeededRandom
+  readonly #agent = new Agent({ connections: null, pipelining: 1, connect: { timeout: 1_000 } })
+  readonly #balancer: Balancer
+  readonly counts: LoadCounts = {
+    requests: 0, answered: 0, notRun: 0, outcomeUnknown: 0, wrongAnswers: 0, cutStreams: 0, resumed: 0, calls: new Map(), firstTokenMs: [], failures: []
+  }
+
+  #stopped = false
+  #nextCall = 0
+
+  constructor (plan: LoadPlan) {
+    this.#plan = plan
+    this.#random = new SeededRandom(plan.seed)
+    this.#balancer = new Balancer(plan.entries, this.#random, this.#agent)
+  }
+
+  /** Runs until the time is over and every request has ended. */
+  async run (): Promise<LoadCounts> {
+    await this.#balancer.check()
+    const end = performance.now() + this.#plan.seconds * 1000
+    const chats = Array.from({ length: this.#plan.chats }, (_, i) => this.#loopChat(i, end))
+    const callers = Array.from({ length: this.#plan.callers }, () => this.#loopCalls(end))
+    await Promise.all([...chats, ...callers])
+    this.#balancer.dispose()
+    await this.#agent.destroy()
+    return this.counts
+  }
+
+  stop (): void {
+    this.#stopped = true
+  }
+
+  #account (): LoadAccount {
+    const total = this.#plan.accounts.reduce((sum, a) => sum + a.weight, 0)
+    let at = this.#random.next() * total
+    return this.#plan.accounts.find(a => (at -= a.weight) < 0) ?? this.#plan.accounts[0]!
+  }
+
+  async #loopChat (index: number, end: number): Promise<void> {
+    let chat = this.#newChat(`${this.#plan.seed}-${index}-0`)
+    for (let n = 1; performance.now() < end && !this.#stopped; n++) {
+      await sleep(this.#random.exponential(this.#plan.pauseMs))
+      if (performance.now() >= end) return
+      const ok = await this.#turn(chat)
+      if (!ok || chat.turn > 6) chat = this.#newChat(`${this.#plan.seed}-${index}-${n}`)
+    }
+  }
+
+  #newChat (id: string): Chat {
+    const opening = `${id} ${'stock of beads and wire '.repeat(Math.ceil(this.#plan.promptChars / 24)).slice(0, this.#plan.promptChars)}`
+    return { id, account: this.#account(), messages: [{ role: 'user', content: opening }], turn: 0 }
+  }
+
+  async #turn (chat: Chat): Promise<boolean> {
+    const caller = new ChatCaller(this.#agent, this.#balancer, chat.account.key)
+    const req: ChatRequest = { model: this.#plan.model, messages: chat.messages, max_tokens: this.#plan.answerTokens, user: `${chat.id}:${chat.turn}` }
+    const result = await caller.chat(chat.account.id, req)
+    this.#count(result)
+    if (result.outcome !== 'answered') {
+      await sleep(RETRY_AFTER_MS)
+      return false
+    }
+    chat.turn++
+    chat.messages = [...chat.messages, { role: 'assistant', content: result.text }, { role: 'user', content: `and turn ${chat.turn}?` }]
+    return true
+  }
+
+  #count (result: CallResult): void {
+    this.counts.requests++
+    if (result.outcome === 'answered') {
+      this.counts.answered++
+      this.counts.firstTokenMs.push(result.firstTokenMs)
+      if (result.cuts > 0) this.counts.resumed++
+      if (!result.correct) this.counts.wrongAnswers++
+    } else {
+      if (result.outcome === 'not-run') this.counts.notRun++
+      else this.counts.outcomeUnknown++
+      if (result.tokens > 0) this.counts.cutStreams++
+      this.counts.failures.push(`${result.code}@${result.entry}`)
+    }
+  }
+
+  async #loopCalls (end: number): Promise<void> {
+    while (performance.now() < end && !this.#stopped) {
+      await sleep(this.#random.exponential(this.#plan.pauseMs / 2))
+      await this.#markedCall()
+    }
+  }
+
+  /** One marked call; with a key it is repeated through another entry, at once or after a lost answer. */
+  async #markedCall (): Promise<void> {
+    const caller = new ServiceCaller(this.#agent, this.#account().key)
+    const callId = `call-${this.#plan.seed}-${this.#nextCall++}`
+    const entry = this.#balancer.pick()
+    const way = this.#random.below(3)
+    const key = way === 0 ? undefined : way === 1 ? mintKey() : await caller.ticket(entry)
+    const results = [await caller.call(entry, this.#plan.service, this.#plan.path, { callId }, key)]
+    if (key !== undefined && (results[0]!.outcome !== 'answered' || this.#random.next() < 0.3)) {
+      results.push(await caller.call(this.#balancer.pick(entry), this.#plan.service, this.#plan.path, { callId }, key))
+    }
+    const outcomes = results.map(r => r.outcome)
+    const outcome = outcomes.includes('answered') ? 'answered' : outcomes.includes('outcome-unknown') ? 'outcome-unknown' : 'not-run'
+    this.counts.requests++
+    this.counts.calls.set(callId, outcome)
+    if (outcome === 'answered') this.counts.answered++
+    else if (outcome === 'not-run') this.counts.notRun++
+    else this.counts.outcomeUnknown++
+    if (outcome !== 'answered') this.counts.failures.push(`${results.map(r => r.code).join('+')}@${entry} way ${way}`)
+  }
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/src/router/Allowances.ts
@@ -0,0 +1,134 @@
+/** Task that admits requests by account: takes admissions from the account's owner, or spends the floor when it is silent. */
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { ClientAccount, VotedConfig } from '../common/config/VotedConfig.js'
+import type { AllowanceDatagram } from '../common/generated/PeerDatagram.js'
+import { AllowanceOwner } from '../common/limits/AllowanceOwner.js'
+import { AllowancePurse } from '../common/limits/AllowancePurse.js'
+import { hashString } from '../common/Hash.js'
+import { rankTop, type RendezvousCandidate } from '../common/Rendezvous.js'
+import type { IClock } from '../common/Services.js'
+import type { Fleet } from './Fleet.js'
+import type { PeerSocket } from './PeerSocket.js'
+
+const GRANT_TIMEOUT_MS = 400 // longer than a round trip between regions
+const PRUNE_INTERVAL_MS = 10_000
+
+interface InstanceCandidate extends RendezvousCandidate {
+  readonly id: string
+}
+
+export class Allowances extends Disposable {
+  readonly #fleet: Fleet
+  readonly #clock: IClock
+  readonly #socket: PeerSocket
+  readonly #config: () => VotedConfig | undefined
+  readonly #owner = new AllowanceOwner()
+  readonly #purse = new AllowancePurse()
+  readonly #takes = new Map<string, Promise<boolean>>()
+  readonly #waiting = new Map<number, (count: number) => void>()
+  #candidates: InstanceCandidate[] = []
+  #seq = 0
+
+  constructor (fleet: Fleet, clock: IClock, socket: PeerSocket, config: () => VotedConfig | undefined) {
+    super()
+    this.#fleet = fleet
+    this.#clock = clock
+    this.#socket = socket
+    this.#config = config
+    this.#refresh()
+    this.own(fleet.onChange(() => this.#refresh()))
+    this.own(socket.onDatagram(d => { if (d.kind === 'take' || d.kind === 'grant') this.#onDatagram(d) }))
+    const timer = setInterval(() => this.#prune(), PRUNE_INTERVAL_MS)
+    this.own(toDisposable(() => clearInterval(timer)))
+  }
+
+  /** True when the account may start one more request. */
+  async admit (account: ClientAccount): Promise<boolean> {
+    if (this.#purse.spend(account.id, this.#clock.nowMs())) return true
+    const answered = await this.#take(account)
+    const now = this.#clock.nowMs()
+    if (answered) return this.#purse.spend(account.id, now)
+    return this.#purse.spendFloor(account.id, account.requestsPerSec / this.#fleetSize(), now)
+  }
+
+  /** One request for admissions at a time for each account; callers that come meanwhile share its answer. */
+  #take (account: ClientAccount): Promise<boolean> {
+    const running = this.#takes.get(account.id)
+    if (running !== undefined) return running
+    const take = this.#ask(account).finally(() => this.#takes.delete(account.id))
+    this.#takes.set(account.id, take)
+    return take
+  }
+
+  async #ask (account: ClientAccount): Promise<boolean> {
+    const now = this.#clock.nowMs()
+    const count = this.#purse.wanted(account.id, now)
+    if (count === 0) return true
+    const owner = rankTop(hashString(account.id, 0x165667b1), this.#candidates, 1)[0]
+    if (owner === undefined) return false
+    if (owner.id === this.#fleet.self.id) {
+      this.#purse.granted(account.id, this.#grant(account, count), now)
+      return true
+    }
+    const to = this.#fleet.address(owner.id)
+    if (to === undefined) return false
+    const seq = ++this.#seq
+    this.#socket.send(to, { kind: 'take', seq, id: this.#fleet.self.id, account: account.id, count })
+    const granted = await this.#answer(seq)
+    if (granted === undefined) return false
+    this.#purse.granted(account.id, granted, this.#clock.nowMs())
+    return true
+  }
+
+  async #answer (seq: number): Promise<number | undefined> {
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => {
+        this.#waiting.delete(seq)
+        resolve(undefined)
+      }, GRANT_TIMEOUT_MS)
+      this.#waiting.set(seq, count => {
+        clearTimeout(timer)
+        this.#waiting.delete(seq)
+        resolve(count)
+      })
+    })
+  }
+
+  #onDatagram (datagram: AllowanceDatagram): void {
+    if (datagram.kind === 'grant') {
+      this.#waiting.get(datagram.seq)?.(datagram.count)
+      return
+    }
+    const to = this.#fleet.address(datagram.id)
+    const account = this.#config()?.account(datagram.account)
+    if (to === undefined || account === undefined || account.isNothing) return
+    const count = this.#grant(account.value, datagram.count)
+    this.#socket.send(to, { kind: 'grant', seq: datagram.seq, id: this.#fleet.self.id, account: datagram.account, count })
+  }
+
+  #grant (account: ClientAccount, count: number): number {
+    return this.#owner.grant(account.id, account.requestsPerSec, this.#reachablePart(), count, this.#clock.nowMs())
+  }
+
+  /** Part of the data centres that this side of a partition can reach, so that the sides stay within the rate together. */
+  #reachablePart (): number {
+    const dataCentres = this.#config()?.version.file.dataCentres ?? []
+    if (dataCentres.length === 0) return 1
+    const reachable = dataCentres.filter(d => this.#fleet.usable(d.id).length > 0).length
+    return Math.max(1, reachable) / dataCentres.length
+  }
+
+  /** Instances of the whole fleet, the unreachable ones included. */
+  #fleetSize (): number {
+    return Math.max(this.#fleet.list?.instances.length ?? 0, this.#fleet.members.length + 1)
+  }
+
+  #refresh (): void {
+    this.#candidates = this.#fleet.usable().map(id => ({ id, hash: hashString(id), weight: 1 }))
+  }
+
+  #prune (): void {
+    this.#owner.prune(this.#clock.nowMs())
+    this.#purse.prune(this.#clock.nowMs())
+  }
+}
--- /dev/null
+++ b/src/router/ConfigTask.ts
@@ -0,0 +1,198 @@
+/**
+ * Task that keeps the file in force: the relays of a data centre watch the platform, the others hear of a new
+ * revision in a peer's digest and fetch the parts they lack from that peer. Nothing is ever written.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Disposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import { joinVersions, supersedes, type ConfigVersion, type RefusedVersion } from '../common/config/ConfigJoin.js'
+import { joinParts, splitText, type PartedFile } from '../common/config/ConfigParts.js'
+import { checkFileText } from '../common/config/FileChecks.js'
+import { VotedConfig } from '../common/config/VotedConfig.js'
+import type { InstanceDigest } from '../common/generated/PeerDatagram.js'
+import { hashString } from '../common/Hash.js'
+import { rankTop } from '../common/Rendezvous.js'
+import type { IClock } from '../common/Services.js'
+import { sha256 } from './Crypto.js'
+import type { Fleet } from './Fleet.js'
+import type { Log } from './Log.js'
+import type { Metrics } from './Metrics.js'
+import type { PeerApiClients } from './PeerApi.js'
+import type { PlatformClient } from './PlatformClient.js'
+
+const WATCH_MS = 20_000
+const RELAYS_PER_DATA_CENTRE = 2
+const RELAY_TERM_MS = 60_000 // relays change, so that the cost of whole reads is spread over all nodes
+const ROLE_CHECK_MS = 500
+const RETRY_MS = 300
+const START_ATTEMPTS = 10
+
+/** What a peer offers. */
+export interface ConfigManifest {
+  readonly revision: number
+  readonly digest: string
+  readonly manifest: readonly string[]
+}
+
+export class ConfigTask extends Disposable {
+  readonly #clock: IClock
+  readonly #platform: PlatformClient
+  readonly #metrics: Metrics
+  readonly #log: Log
+  readonly #changed = this.own(new Emitter<VotedConfig>())
+  #fleet: Fleet | undefined
+  #peers: PeerApiClients | undefined
+  #current: VotedConfig | undefined
+  #parted: PartedFile = { manifest: [], parts: new Map() }
+  #refused: RefusedVersion | undefined
+  #seenRevision = -1
+  readonly #fetching = new Set<string>()
+
+  /** Fires when another file comes into force. */
+  readonly onChange = this.#changed.event
+
+  constructor (clock: IClock, platform: PlatformClient, metrics: Metrics, log: Log) {
+    super()
+    this.#clock = clock
+    this.#platform = platform
+    this.#metrics = metrics
+    this.#log = log
+  }
+
+  get current (): VotedConfig | undefined {
+    return this.#current
+  }
+
+  get refused (): RefusedVersion | undefined {
+    return this.#refused
+  }
+
+  /** Bytes held for serving the file to peers. */
+  get bytes (): number {
+    let bytes = 0
+    for (const part of this.#parted.parts.values()) bytes += part.length
+    return bytes
+  }
+
+  /** Manifest of the file in force. */
+  manifest (): ConfigManifest | undefined {
+    const version = this.#current?.version
+    return version === undefined ? undefined : { revision: version.revision, digest: version.digest, manifest: this.#parted.manifest }
+  }
+
+  /** Parts by their hash; unknown ones are left out. */
+  parts (ids: readonly string[]): Array<readonly [string, string]> {
+    return ids.flatMap(id => {
+      const text = this.#parted.parts.get(id)
+      return text === undefined ? [] : [[id, text] as const]
+    })
+  }
+
+  /** Asks peers and the platform before the node serves, then starts to watch. */
+  async start (fleet: Fleet, peers: PeerApiClients): Promise<void> {
+    this.#fleet = fleet
+    this.#peers = peers
+    this.own(fleet.onDigest(d => this.#onDigest(d)))
+    for (let i = 0; i < START_ATTEMPTS && !this.isDisposed; i++) {
+      await Promise.all([this.#readPlatform(), this.#askPeers()])
+      if (this.#current !== undefined) break
+      await sleep(RETRY_MS)
+    }
+    this.#watch().catch((e: unknown) => this.#log.error({ step: 'config', err: String(e) }, 'watch ended'))
+  }
+
+  /** Takes a file's text in; refuses it whole when it is not valid. */
+  offer (text: string, revision: number, source: string): void {
+    const digest = sha256(text)
+    const now = this.#current?.version
+    if (now !== undefined && !supersedes({ revision, digest }, now)) return
+    if (this.#refused?.revision === revision && this.#refused.digest === digest) return
+    const checked = checkFileText(text)
+    if (checked.isErr()) {
+      this.#refused = { revision, digest, errors: checked.error }
+      this.#log.warn({ step: 'config', peer: source, revision, digest, errors: checked.error.slice(0, 20) }, 'file refused')
+      return
+    }
+    this.#accept(joinVersions<ConfigVersion>(now, { revision, digest, file: checked.value })!, text, source)
+  }
+
+  #accept (version: ConfigVersion, text: string, source: string): void {
+    this.#current = new VotedConfig(version)
+    this.#parted = splitText(text, piece => sha256(piece).slice(0, 22))
+    this.#metrics.configRevision.set(version.revision)
+    this.#log.info({ step: 'config', peer: source, revision: version.revision, digest: version.digest }, 'file in force')
+    this.#changed.fire(this.#current)
+  }
+
+  #isRelay (): boolean {
+    const fleet = this.#fleet!
+    const term = Math.floor(this.#clock.wallMs() / RELAY_TERM_MS)
+    const candidates = fleet.usable(fleet.self.dataCentre).map(id => ({ id, hash: hashString(id), weight: 1 }))
+    return rankTop(hashString(`relay:${term}`), candidates, RELAYS_PER_DATA_CENTRE).some(c => c.id === fleet.self.id)
+  }
+
+  async #watch (): Promise<void> {
+    while (!this.isDisposed) {
+      if (!this.#isRelay() && this.#current !== undefined) {
+        await sleep(ROLE_CHECK_MS)
+        continue
+      }
+      const read = await this.#platform.revision(this.#seenRevision, WATCH_MS)
+      if (this.isDisposed) return
+      if (read.isErr()) {
+        this.#log.debug({ ...read.error }, 'platform not readable')
+        await sleep(RETRY_MS)
+        if (this.#current === undefined) await this.#askPeers()
+      } else if (read.value !== this.#seenRevision && !(await this.#readPlatform())) {
+        await sleep(RETRY_MS)
+      }
+    }
+  }
+
+  async #readPlatform (): Promise<boolean> {
+    const read = await this.#platform.file()
+    if (read.isErr() || this.isDisposed) return false
+    this.#seenRevision = read.value.revision
+    this.offer(read.value.text, read.value.revision, 'platform')
+    return true
+  }
+
+  async #askPeers (): Promise<void> {
+    const fleet = this.#fleet!
+    const ids = fleet.usable().filter(id => id !== fleet.self.id).slice(0, 6)
+    await Promise.all(ids.map(id => this.#fetchFrom(id)))
+  }
+
+  #onDigest (digest: InstanceDigest): void {
+    if (digest.configRevision === 0) return
+    const now = this.#current?.version
+    const mine = { revision: now?.revision ?? 0, digest: now?.digest.slice(0, 16) ?? '' }
+    if (supersedes({ revision: digest.configRevision, digest: digest.configDigest }, mine)) this.#fetchFrom(digest.id).catch(() => {})
+  }
+
+  async #fetchFrom (id: string): Promise<void> {
+    if (this.#fetching.has(id)) return
+    this.#fetching.add(id)
+    try {
+      await this.#fetch(id)
+    } catch (e) {
+      this.#log.debug({ step: 'config', peer: id, err: String(e) }, 'peer gave no file')
+    } finally {
+      this.#fetching.delete(id)
+    }
+  }
+
+  async #fetch (id: string): Promise<void> {
+    const api = this.#peers!.of(id)
+    const offered = await api?.config.manifest.query()
+    if (api === undefined || offered === undefined || offered === null) return
+    const now = this.#current?.version
+    if (now !== undefined && !supersedes(offered, now)) return
+    const missing = offered.manifest.filter(part => !this.#parted.parts.has(part))
+    const parts = new Map(this.#parted.parts)
+    const fetched = missing.length === 0 ? [] : await api.config.parts.query({ ids: [...new Set(missing)] })
+    for (const [part, text] of fetched) parts.set(part, text)
+    const text = joinParts(offered.manifest, parts)
+    if (text !== undefined && sha256(text) === offered.digest) this.offer(text, offered.revision, id)
+  }
+}
--- /dev/null
+++ b/src/router/DatagramCodec.ts
@@ -0,0 +1,80 @@
+/** Datagrams on the wire: a keyed digest, then MessagePack of positional arrays, which spares the field names. */
+import { timingSafeEqual } from 'node:crypto'
+import { Packr } from 'msgpackr'
+import { err, type Result } from 'neverthrow'
+import type { AllowanceDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
+import { checkPeerDatagram, formatErrors } from '../common/Schema.js'
+import { hmac } from './Crypto.js'
+
+const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant'] as const
+const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
+const MAC_BYTES = 12
+
+type Row = readonly unknown[]
+
+function digestRow (d: InstanceDigest): Row {
+  return [d.id, d.incarnation, d.configRevision, d.configDigest, d.members, d.loads.flatMap(l => [l.endpoint, Math.round(l.work)])]
+}
+
+function rumourRow (r: MemberRumour): Row {
+  return [r.id, r.incarnation, STATES.indexOf(r.state), r.dataCentre, r.address, r.peerPort]
+}
+
+function toRow (datagram: PeerDatagram): Row {
+  const kind = KINDS.indexOf(datagram.kind)
+  switch (datagram.kind) {
+    case 'ping':
+    case 'ack':
+    case 'pingReq':
+      return [kind, datagram.seq, datagram.target ?? '', digestRow(datagram.from), datagram.rumours.map(rumourRow)]
+    case 'ownPing':
+    case 'ownAck':
+      return [kind, datagram.seq, datagram.id, datagram.listDigest]
+    case 'take':
+    case 'grant':
+      return [kind, datagram.seq, datagram.id, datagram.account, datagram.count]
+  }
+}
+
+function digestOf (row: Row): InstanceDigest {
+  const flat = row[5] as readonly number[]
+  const loads = []
+  for (let i = 0; i + 1 < flat.length; i += 2) loads.push({ endpoint: flat[i]!, work: flat[i + 1]! })
+  return { id: row[0], incarnation: row[1], configRevision: row[2], configDigest: row[3], members: row[4], loads } as InstanceDigest
+}
+
+function rumourOf (row: Row): MemberRumour {
+  return { id: row[0], incarnation: row[1], state: STATES[row[2] as number], dataCentre: row[3], address: row[4], peerPort: row[5] } as MemberRumour
+}
+
+function fromRow (row: Row): PeerDatagram {
+  const kind = KINDS[row[0] as number]
+  if (kind === 'ownPing' || kind === 'ownAck') return { kind, seq: row[1], id: row[2], listDigest: row[3] } as OwnershipDatagram
+  if (kind === 'take' || kind === 'grant') return { kind, seq: row[1], id: row[2], account: row[3], count: row[4] } as AllowanceDatagram
+  return { kind, seq: row[1], target: row[2], from: digestOf(row[3] as Row), rumours: (row[4] as readonly Row[]).map(rumourOf) } as ProbeDatagram
+}
+
+export class DatagramCodec {
+  readonly #secret: string
+  readonly #packr = new Packr({ useRecords: false })
+
+  constructor (secret: string) {
+    this.#secret = secret
+  }
+
+  encode (datagram: PeerDatagram): Buffer {
+    const body = this.#packr.pack(toRow(datagram))
+    return Buffer.concat([hmac(this.#secret, body, MAC_BYTES), body])
+  }
+
+  /** Refuses what was not signed with the secret or is not what the schema says. */
+  decode (bytes: Buffer): Result<PeerDatagram, string> {
+    const body = bytes.subarray(MAC_BYTES)
+    if (body.length === 0 || !timingSafeEqual(bytes.subarray(0, MAC_BYTES), hmac(this.#secret, body, MAC_BYTES))) return err('bad signature')
+    try {
+      return checkPeerDatagram(fromRow(this.#packr.unpack(body) as Row)).mapErr(formatErrors)
+    } catch (e) {
+      return err(`undecodable: ${String(e)}`)
+    }
+  }
+}
--- /dev/null
+++ b/src/router/EndpointFeed.ts
@@ -0,0 +1,88 @@
+/** Task that reads one endpoint's feed of load reports and cache events, and reconnects when it breaks. */
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import type { EndpointInfo } from '../common/config/VotedConfig.js'
+import type { LoadReport } from '../common/placement/EndpointLoad.js'
+import type { Dispatcher } from 'undici'
+import { startExchange, type HttpExchange } from './HttpStream.js'
+import type { LinkFilter } from './LinkFilter.js'
+
+const RECONNECT_MS = 300
+const SILENCE_MS = 5_000 // a feed this quiet is opened anew
+const MAX_EVENT_BYTES = 1_048_576
+
+export class EndpointFeed extends Disposable {
+  readonly #endpoint: EndpointInfo
+  readonly #agent: Dispatcher
+  readonly #links: LinkFilter
+  readonly #reported = this.own(new Emitter<LoadReport>())
+  readonly #evicted = this.own(new Emitter<readonly string[]>())
+  #exchange: HttpExchange | undefined
+  #timer: NodeJS.Timeout | undefined
+  #text = ''
+
+  /** Fires for each load report. */
+  readonly onReport = this.#reported.event
+  /** Fires with the prefix keys of chats whose prefix the engine dropped. */
+  readonly onEvicted = this.#evicted.event
+
+  constructor (endpoint: EndpointInfo, agent: Dispatcher, links: LinkFilter) {
+    super()
+    this.#endpoint = endpoint
+    this.#agent = agent
+    this.#links = links
+    this.own(toDisposable(() => {
+      clearTimeout(this.#timer)
+      this.#exchange?.abort()
+    }))
+    this.#connect()
+  }
+
+  #connect (): void {
+    if (this.isDisposed) return
+    if (!this.#links.passes(this.#endpoint.id)) {
+      this.#retry()
+      return
+    }
+    this.#text = ''
+    this.#exchange = startExchange(this.#agent, {
+      origin: `http://${this.#endpoint.address}`,
+      path: '/v1/events',
+      method: 'GET',
+      headers: { accept: 'text/event-stream' },
+      headersTimeoutMs: SILENCE_MS,
+      bodyTimeoutMs: SILENCE_MS
+    }, {
+      onHead: () => {},
+      onData: chunk => this.#push(chunk),
+      onEnd: () => this.#retry(),
+      onError: () => this.#retry()
+    })
+  }
+
+  #retry (): void {
+    if (!this.isDisposed) this.#timer = setTimeout(() => this.#connect(), RECONNECT_MS)
+  }
+
+  #push (chunk: Buffer): void {
+    if (!this.#links.passes(this.#endpoint.id)) {
+      this.#exchange?.abort()
+      return
+    }
+    const events = (this.#text + chunk.toString()).split('\n\n')
+    this.#text = events.pop()!
+    if (this.#text.length > MAX_EVENT_BYTES) this.#exchange?.abort()
+    for (const event of events) this.#take(event)
+  }
+
+  /** A malformed event is dropped: it may cost a miss, never a wrong answer. */
+  #take (event: string): void {
+    const data = /^data: (.*)$/m.exec(event)?.[1] ?? ''
+    try {
+      if (event.startsWith('event: load')) this.#reported.fire(JSON.parse(data) as LoadReport)
+      if (event.startsWith('event: cache')) this.#evicted.fire((JSON.parse(data) as { readonly evicted: readonly string[] }).evicted)
+    } catch {
+      // see above
+    }
+  }
+}
--- /dev/null
+++ b/src/router/Fleet.ts
@@ -0,0 +1,174 @@
+/** Task that owns this node's view of the fleet: members, the platform's list, homes of endpoints and samples of load. */
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import type { VotedConfig } from '../common/config/VotedConfig.js'
+import type { InstanceDigest, PeerDatagram } from '../common/generated/PeerDatagram.js'
+import { hashString } from '../common/Hash.js'
+import { Membership, type Member, type Outgoing } from '../common/membership/Membership.js'
+import { LoadView } from '../common/placement/LoadView.js'
+import { rankTop, type RendezvousCandidate } from '../common/Rendezvous.js'
+import type { IClock, IRandom } from '../common/Services.js'
+import type { InstanceAddress, PlatformList } from '../common/Types.js'
+import type { PeerSocket } from './PeerSocket.js'
+
+const TICK_MS = 50
+
+/** What this node adds to its own digest. */
+export interface DigestParts {
+  readonly config: () => VotedConfig | undefined
+  readonly loads: () => InstanceDigest['loads']
+}
+
+interface InstanceCandidate extends RendezvousCandidate {
+  readonly id: string
+}
+
+export class Fleet extends Disposable {
+  readonly self: InstanceAddress
+  readonly loads = new LoadView()
+  readonly #clock: IClock
+  readonly #socket: PeerSocket
+  readonly #membership: Membership
+  readonly #parts: DigestParts
+  readonly #changed = this.own(new Emitter<void>())
+  readonly #heard = this.own(new Emitter<InstanceDigest>())
+  readonly #gone = this.own(new Emitter<string>())
+  #list: PlatformList | undefined
+  #homes = new Map<string, string>()
+  #homesStale = true
+
+  /** Fires when members or the list changed. */
+  readonly onChange = this.#changed.event
+  /** Fires for each digest heard from a peer. */
+  readonly onDigest = this.#heard.event
+  /** Fires with the id of an instance that was declared dead. */
+  readonly onGone = this.#gone.event
+
+  constructor (self: InstanceAddress, clock: IClock, random: IRandom, socket: PeerSocket, parts: DigestParts) {
+    super()
+    this.self = self
+    this.#clock = clock
+    this.#socket = socket
+    this.#parts = parts
+    this.#membership = new Membership(self, Math.floor(clock.wallMs()), random, () => this.#digest())
+    this.own(this.#membership.onChange(m => this.#onMember(m)))
+    this.own(socket.onDatagram(d => this.#onDatagram(d)))
+    const timer = setInterval(() => this.#tick(), TICK_MS)
+    this.own(toDisposable(() => clearInterval(timer)))
+  }
+
+  get incarnation (): number {
+    return this.#membership.incarnation
+  }
+
+  get members (): readonly Member[] {
+    return this.#membership.members
+  }
+
+  get list (): PlatformList | undefined {
+    return this.#list
+  }
+
+  /** Ids of instances of a data centre that may be given work. */
+  usable (dataCentre?: string): string[] {
+    return this.#membership.usable(dataCentre)
+  }
+
+  address (id: string): InstanceAddress | undefined {
+    return id === this.self.id ? this.self : this.#membership.member(id)
+  }
+
+  /** Ids of a data centre's instances as the platform lists them, leaving ones included. */
+  listed (dataCentre: string): string[] {
+    return (this.#list?.instances ?? []).filter(i => i.dataCentre === dataCentre).map(i => i.id)
+  }
+
+  /** Adds peers from the settings or a peer's answer. */
+  learn (rows: readonly InstanceAddress[]): void {
+    this.#membership.learn(rows, this.#clock.nowMs())
+    this.#homesStale = true
+  }
+
+  /** Takes a list in unless a newer one is known. */
+  offerList (list: PlatformList): void {
+    if (this.#list !== undefined && list.revision <= this.#list.revision) return
+    this.#list = list
+    this.learn(list.instances)
+    for (const row of list.instances) {
+      if (row.state === 'leaving') this.#membership.noteLeaving(row.id, this.#clock.nowMs())
+    }
+    this.#notify()
+  }
+
+  /** The instance that dispatches to an endpoint; undefined when none of its data centre lives. */
+  homeOf (endpointId: string): string | undefined {
+    if (this.#homesStale) this.#rebuildHomes()
+    return this.#homes.get(endpointId)
+  }
+
+  /** Rebuilds what depends on the file in force. */
+  configChanged (): void {
+    this.#notify()
+    this.announce()
+  }
+
+  /** Pushes this node's digest to a few peers at once. */
+  announce (): void {
+    this.#send(this.#membership.announce(this.#clock.nowMs()))
+  }
+
+  /** Tells peers that this node leaves. */
+  leave (): void {
+    this.#send(this.#membership.leave())
+    this.#notify()
+  }
+
+  #digest (): Pick<InstanceDigest, 'configRevision' | 'configDigest' | 'loads'> {
+    const version = this.#parts.config()?.version
+    return { configRevision: version?.revision ?? 0, configDigest: version?.digest.slice(0, 16) ?? '', loads: this.#parts.loads() }
+  }
+
+  #onDatagram (datagram: PeerDatagram): void {
+    if (!('from' in datagram)) return
+    const now = this.#clock.nowMs()
+    this.#send(this.#membership.receive(datagram, now))
+    for (const load of datagram.from.loads) this.loads.record(load.endpoint, load.work, now)
+    this.#heard.fire(datagram.from)
+  }
+
+  #tick (): void {
+    const now = this.#clock.nowMs()
+    this.#send(this.#membership.tick(now))
+    this.loads.prune(now)
+  }
+
+  #send (out: readonly Outgoing[]): void {
+    for (const o of out) this.#socket.send(o.to, o.datagram)
+  }
+
+  #onMember (m: Member): void {
+    this.#notify()
+    if (m.state === 'dead') this.#gone.fire(m.id)
+  }
+
+  #notify (): void {
+    this.#homesStale = true
+    this.#changed.fire()
+  }
+
+  #rebuildHomes (): void {
+    this.#homesStale = false
+    const homes = new Map<string, string>()
+    const byDataCentre = new Map<string, InstanceCandidate[]>()
+    for (const endpoint of this.#parts.config()?.endpoints ?? []) {
+      let instances = byDataCentre.get(endpoint.dataCentre)
+      if (instances === undefined) {
+        instances = this.usable(endpoint.dataCentre).map(id => ({ id, hash: hashString(id), weight: 1 }))
+        byDataCentre.set(endpoint.dataCentre, instances)
+      }
+      const home = rankTop(endpoint.hash, instances, 1)[0]
+      if (home !== undefined) homes.set(endpoint.id, home.id)
+    }
+    this.#homes = homes
+  }
+}
--- /dev/null
+++ b/src/router/HttpStream.ts
@@ -0,0 +1,84 @@
+/** One HTTP exchange whose body is passed on as it comes, without the cost of a readable stream. */
+import type { Dispatcher } from 'undici'
+
+/** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
+export interface HttpSink {
+  /** Called right before the first byte goes out; returning false abandons the request unsent. */
+  readonly onSending?: () => boolean
+  readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void
+  readonly onData: (chunk: Buffer) => void
+  readonly onEnd: () => void
+  /** `sent` is false when no byte of the request can have reached the peer. */
+  readonly onError: (err: Error, sent: boolean) => void
+}
+
+/** Handle of a running exchange. */
+export interface HttpExchange {
+  abort (): void
+  pause (): void
+  resume (): void
+}
+
+export interface HttpRequest {
+  readonly origin: string
+  readonly path: string
+  readonly method: 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE'
+  readonly headers: Readonly<Record<string, string>>
+  readonly body?: Uint8Array
+  readonly headersTimeoutMs: number
+  readonly bodyTimeoutMs: number
+}
+
+/** Starts an exchange. */
+export function startExchange (dispatcher: Dispatcher, req: HttpRequest, sink: HttpSink): HttpExchange {
+  let controller: Dispatcher.DispatchController | undefined
+  let aborted = false
+  let sent = false
+  let over = false
+  const fail = (e: Error): void => {
+    if (over) return
+    over = true
+    sink.onError(e, sent)
+  }
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart (c) {
+      controller = c
+      if (aborted) c.abort(new Error('abandoned'))
+      else if (sink.onSending?.() === false) c.abort(new Error('right lost before sending'))
+      else sent = true
+    },
+    onResponseStart (_c, status, headers) {
+      if (!aborted) sink.onHead(status, headers)
+    },
+    onResponseData (_c, chunk) {
+      if (!aborted) sink.onData(chunk)
+    },
+    onResponseEnd () {
+      if (over) return
+      over = true
+      sink.onEnd()
+    },
+    onResponseError (_c, e) {
+      fail(e)
+    }
+  }
+  dispatcher.dispatch({
+    origin: req.origin,
+    path: req.path,
+    method: req.method,
+    headers: { ...req.headers },
+    body: req.body === undefined ? null : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength),
+    headersTimeout: req.headersTimeoutMs,
+    bodyTimeout: req.bodyTimeoutMs
+  }, handler)
+  return {
+    abort () {
+      if (aborted) return
+      aborted = true
+      controller?.abort(new Error('aborted'))
+      fail(new Error('aborted'))
+    },
+    pause () { controller?.pause() },
+    resume () { controller?.resume() }
+  }
+}
--- /dev/null
+++ b/src/router/KeyOwner.ts
@@ -0,0 +1,117 @@
+/**
+ * Task that owns this node's idempotency keys: the lease that lets it act for keys of its data centre, the
+ * tickets that it issued, and the ledger of what ran.
+ */
+import { CLOCK_SKEW_MS, KEY_RETENTION_MS, LEASE_MS, LEASE_PING_INTERVAL_MS } from '../common/Constants.js'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { OwnershipDatagram } from '../common/generated/PeerDatagram.js'
+import { digestOfSet } from '../common/Hash.js'
+import { decideKey, type KeyAction, type KeyTimes } from '../common/once/KeyDecision.js'
+import { initialLease, keyRight, withConsent, withList, type KeyLease, type KeyRight, type LeaseTimes } from '../common/once/KeyLease.js'
+import { KeyLedger } from '../common/once/KeyLedger.js'
+import { formatTicket, mintTimeOf, parseTicket, scopedKey, type TicketName } from '../common/once/KeyNames.js'
+import { ownerOf } from '../common/Rendezvous.js'
+import type { IClock } from '../common/Services.js'
+import { randomId } from './Crypto.js'
+import type { Fleet } from './Fleet.js'
+import type { PeerSocket } from './PeerSocket.js'
+
+const LEASE_TIMES: LeaseTimes = { leaseMs: LEASE_MS }
+const KEY_TIMES: KeyTimes = { skewMs: CLOCK_SKEW_MS, retentionMs: KEY_RETENTION_MS }
+const PRUNE_INTERVAL_MS = 10_000
+const TICKET_RIGHT: KeyRight = { mayAct: true, vouchFrom: -Infinity }
+const NO_RIGHT: KeyRight = { mayAct: false, vouchFrom: Infinity }
+
+export class KeyOwner extends Disposable {
+  readonly ledger = new KeyLedger()
+  readonly #fleet: Fleet
+  readonly #clock: IClock
+  readonly #socket: PeerSocket
+  readonly #startId: number
+  readonly #sent = new Map<number, number>()
+  #lease: KeyLease
+  #seq = 0
+
+  constructor (fleet: Fleet, clock: IClock, socket: PeerSocket) {
+    super()
+    this.#fleet = fleet
+    this.#clock = clock
+    this.#socket = socket
+    this.#startId = Math.floor(clock.wallMs())
+    this.#lease = initialLease(fleet.self.id)
+    this.own(fleet.onChange(() => this.#refresh()))
+    this.own(socket.onDatagram(d => { if (d.kind === 'ownPing' || d.kind === 'ownAck') this.#onDatagram(d) }))
+    const ping = setInterval(() => this.#ping(), LEASE_PING_INTERVAL_MS)
+    const prune = setInterval(() => this.ledger.prune(clock.nowMs()), PRUNE_INTERVAL_MS)
+    this.own(toDisposable(() => clearInterval(ping)))
+    this.own(toDisposable(() => clearInterval(prune)))
+  }
+
+  /** Issues a ticket that only this process can use, once. */
+  issueTicket (account: string): string {
+    const ticket = formatTicket({ instance: this.#fleet.self.id, incarnation: this.#startId }, randomId())
+    this.ledger.issue(scopedKey(account, ticket), this.#clock.nowMs())
+    return ticket
+  }
+
+  /** The right to act for a key now; asked again right before the first byte goes out. */
+  right (account: string, key: string): KeyRight {
+    const ticket = parseTicket(key)
+    if (ticket !== undefined) return this.#issuedHere(account, key, ticket) ? TICKET_RIGHT : NO_RIGHT
+    return keyRight(this.#lease, key, this.#clock.nowMs(), keyOwnerOf, LEASE_TIMES)
+  }
+
+  /** What to do with a request that carries the key. */
+  decide (account: string, key: string): KeyAction {
+    const now = this.#clock.nowMs()
+    const right = this.right(account, key)
+    const state = this.ledger.state(scopedKey(account, key))
+    if (parseTicket(key) !== undefined && state === 'unseen') return right.mayAct ? 'run' : 'unknown'
+    const mintedWall = mintTimeOf(key)
+    const mintedAt = mintedWall === undefined ? undefined : mintedWall - this.#clock.wallMs() + now
+    return decideKey(state, { mintedAt, now }, right, KEY_TIMES)
+  }
+
+  #issuedHere (account: string, key: string, ticket: TicketName): boolean {
+    return ticket.instance === this.#fleet.self.id && ticket.incarnation === this.#startId && this.ledger.wasIssued(scopedKey(account, key))
+  }
+
+  #refresh (): void {
+    if (this.#fleet.list === undefined) return
+    this.#lease = withList(this.#lease, this.#fleet.listed(this.#fleet.self.dataCentre), this.#clock.nowMs(), LEASE_TIMES)
+  }
+
+  #listDigest (): number {
+    return digestOfSet(this.#lease.list)
+  }
+
+  #ping (): void {
+    const now = this.#clock.nowMs()
+    const seq = ++this.#seq
+    this.#sent.set(seq, now)
+    for (const old of this.#sent.keys()) {
+      if (old < seq - 8) this.#sent.delete(old)
+    }
+    for (const id of this.#lease.list) this.#send(id, { kind: 'ownPing', seq, id: this.#fleet.self.id, listDigest: this.#listDigest() })
+  }
+
+  #onDatagram (datagram: OwnershipDatagram): void {
+    if (datagram.listDigest !== this.#listDigest() || !this.#lease.list.includes(datagram.id)) return
+    if (datagram.kind === 'ownPing') {
+      this.#send(datagram.id, { kind: 'ownAck', seq: datagram.seq, id: this.#fleet.self.id, listDigest: datagram.listDigest })
+      return
+    }
+    const sentAt = this.#sent.get(datagram.seq)
+    if (sentAt !== undefined) this.#lease = withConsent(this.#lease, datagram.id, sentAt, LEASE_TIMES)
+  }
+
+  #send (id: string, datagram: OwnershipDatagram): void {
+    const to = this.#fleet.address(id)
+    if (to !== undefined && id !== this.#fleet.self.id) this.#socket.send(to, datagram)
+  }
+}
+
+/** Owner of a key among a data centre's listed instances. */
+export function keyOwnerOf (key: string, list: readonly string[]): string | undefined {
+  return ownerOf(key, list)
+}
--- /dev/null
+++ b/src/router/LocalHome.ts
@@ -0,0 +1,270 @@
+/**
+ * Home of the engines that this node dispatches to: decides with exact counts whether an engine takes a chat,
+ * remembers where the prefixes of its chats are, and streams the answers.
+ */
+import { Agent } from 'undici'
+import type { EndpointInfo, VotedConfig } from '../common/config/VotedConfig.js'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { routeError } from '../common/Errors.js'
+import { shouldShed } from '../common/limits/Shedding.js'
+import { ChatDirectory, type ChatEntry } from '../common/placement/ChatDirectory.js'
+import type { ChatPlacement } from '../common/placement/ChatKey.js'
+import type { EndpointLoad } from '../common/placement/EndpointLoad.js'
+import { UNAVAILABLE } from '../common/placement/LoadView.js'
+import { PlacementPolicy, RANKED_ENGINES, requestWork, type PlacementDecision } from '../common/placement/PlacementPolicy.js'
+import { rankTop } from '../common/Rendezvous.js'
+import type { IClock } from '../common/Services.js'
+import { EngineStream } from './EngineClient.js'
+import type { Endpoints, Eviction } from './Endpoints.js'
+import type { Fleet } from './Fleet.js'
+import type { LinkFilter } from './LinkFilter.js'
+import type { Metrics } from './Metrics.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall } from './Types.js'
+
+const DIRECTORY_CHATS = 16_384 // twice the chats of a node at the planned size
+const WARMING_MS = 60_000
+const CACHED_UNKNOWN = 0
+
+/** What ranking reads. */
+export type RankParts = Pick<HomeParts, 'fleet' | 'endpoints' | 'clock'>
+
+/** Engines that may take a chat, nearest region first; entry and home rank the same set. */
+export function rankEngines (parts: RankParts, config: VotedConfig, model: string, keyHash: number, excluded: readonly string[]): EndpointInfo[] {
+  const { fleet, endpoints } = parts
+  const now = parts.clock.nowMs()
+  const region = config.regionOf(fleet.self.dataCentre)
+  const usable = config.enginesOf(model).filter(e => {
+    return !excluded.includes(e.id) && fleet.homeOf(e.id) !== undefined && endpoints.work(e.hash, now) !== UNAVAILABLE
+  })
+  const near = usable.filter(e => e.region === region)
+  return rankTop(keyHash, near.length > 0 ? near : usable, RANKED_ENGINES)
+}
+
+/** Parts that a home works with. */
+export interface HomeParts {
+  readonly config: () => VotedConfig | undefined
+  readonly fleet: Fleet
+  readonly endpoints: Endpoints
+  readonly clock: IClock
+  readonly links: LinkFilter
+  readonly metrics: Metrics
+}
+
+export class LocalHome extends Disposable implements IHome {
+  readonly #parts: HomeParts
+  readonly #directory = new ChatDirectory(DIRECTORY_CHATS)
+  readonly #agent = new Agent({ connections: null, pipelining: 1 })
+  readonly #streams = new Map<string, Set<EngineStream>>()
+
+  constructor (parts: HomeParts) {
+    super()
+    this.#parts = parts
+    this.own(parts.endpoints.onEvicted(e => this.#onEvicted(e)))
+    this.own(parts.endpoints.onLost(id => { for (const stream of this.#streams.get(id) ?? []) stream.lost() }))
+    this.own(toDisposable(() => { this.#agent.destroy().catch(() => {}) }))
+  }
+
+  /** Bytes held for remembering chats. */
+  get directoryBytes (): number {
+    return this.#directory.bytes
+  }
+
+  /** Chats remembered. */
+  get chats (): number {
+    return this.#directory.size
+  }
+
+  /** Streams in progress. */
+  get active (): number {
+    let active = 0
+    for (const streams of this.#streams.values()) active += streams.size
+    return active
+  }
+
+  /** Where the prefix of a chat was last placed. */
+  where (keyHash: number, tag: number): ChatEntry | undefined {
+    return this.#directory.get(keyHash, tag)
+  }
+
+  chat (call: ChatCall, body: Uint8Array, sink: IChatSink): IChatRun {
+    const run = new Run()
+    this.#place(call, body, sink, run).catch((e: unknown) => {
+      sink.onReply({ kind: 'error', error: routeError('internal', 'place', this.#parts.fleet.self.id, String(e)) })
+    })
+    return run
+  }
+
+  resume (call: ResumeCall, sink: IChatSink): IChatRun {
+    const run = new Run()
+    const endpoint = this.#parts.config()?.endpoint(call.endpoint)
+    if (endpoint === undefined) {
+      sink.onReply({ kind: 'error', error: routeError('stream_not_found', 'resume', call.endpoint) })
+      return run
+    }
+    this.#parts.endpoints.load(endpoint).then(load => {
+      if (load.silent(this.#parts.clock.nowMs(), 3_000)) {
+        sink.onError(routeError('stream_not_found', 'resume', endpoint.id, 'the endpoint is silent'), true)
+        return
+      }
+      this.#stream(endpoint, call, sink, run, stream => stream.attach(), () => {})
+    }).catch((e: unknown) => sink.onError(routeError('internal', 'resume', endpoint.id, String(e)), true))
+    return run
+  }
+
+  cancel (requestId: string, endpointId: string): void {
+    const endpoint = this.#parts.config()?.endpoint(endpointId)
+    if (endpoint === undefined) return
+    new EngineStream(this.#agent, this.#parts.links, endpoint, requestId, 0, 0, SILENT_SINK).cancel()
+  }
+
+  /** Decides where a chat would go, without sending it. */
+  decide (model: string, placement: ChatPlacement, excluded: readonly string[]): PlacementDecision<EndpointInfo> | undefined {
+    const { fleet, endpoints, clock } = this.#parts
+    const config = this.#parts.config()
+    if (config === undefined) return undefined
+    const now = clock.nowMs()
+    const ranked = rankEngines(this.#parts, config, model, placement.keyHash, excluded)
+    const regions = new Set(ranked.map(e => e.region))
+    const all = config.enginesOf(model).filter(e => regions.has(e.region) && !excluded.includes(e.id) && fleet.homeOf(e.id) !== undefined)
+    const held = this.#directory.get(placement.keyHash, placement.tag)
+    const policy = new PlacementPolicy(config)
+    return policy.choose(placement, { ranked, all, held, warming: this.#warming(ranked[0]) }, endpoints, now)
+  }
+
+  async #place (call: ChatCall, body: Uint8Array, sink: IChatSink, run: Run): Promise<void> {
+    const config = this.#parts.config()
+    const asked = config?.endpoint(call.endpoint)
+    if (config === undefined || asked === undefined) {
+      sink.onReply({ kind: 'error', error: routeError('no_endpoint', 'place', call.endpoint, 'not in the file in force here') })
+      return
+    }
+    let endpoint = asked
+    let cachedTokens = CACHED_UNKNOWN
+    if (call.mayRedirect) {
+      const decision = this.decide(call.model, call.placement, call.excluded)
+      if (decision === undefined) {
+        sink.onReply({ kind: 'error', error: routeError('no_endpoint', 'place', call.endpoint, 'no usable engine') })
+        return
+      }
+      this.#parts.metrics.placements.inc({ reason: decision.reason })
+      const { keyHash, tag, promptTokens, answerTokens } = call.placement
+      this.#directory.set(keyHash, tag, decision.engine.hash, promptTokens + answerTokens)
+      if (this.#parts.fleet.homeOf(decision.engine.id) !== this.#parts.fleet.self.id) {
+        sink.onReply({ kind: 'redirect', endpoint: decision.engine.id, reason: decision.reason })
+        return
+      }
+      endpoint = decision.engine
+      cachedTokens = decision.cachedTokens
+    }
+    const load = await this.#parts.endpoints.load(endpoint)
+    const refusal = this.#refusal(call, endpoint, load, config, cachedTokens)
+    if (refusal !== undefined) sink.onReply(refusal)
+    else this.#run(call, body, endpoint, load, cachedTokens, sink, run)
+  }
+
+  /** Checks with exact counts; undefined when the engine takes the chat. */
+  #refusal (call: ChatCall, endpoint: EndpointInfo, load: EndpointLoad, config: VotedConfig, cached: number): HomeReply | undefined {
+    const now = this.#parts.clock.nowMs()
+    if (!load.open(now)) return { kind: 'declined', endpoint: endpoint.id, load: UNAVAILABLE }
+    const report = load.report
+    if (report !== undefined && shouldShed(report, load.inFlight, call.priority, load.accountPart(call.account) <= call.share)) {
+      return { kind: 'error', error: routeError('overloaded', 'admit', endpoint.id, '', 1000) }
+    }
+    if (call.force || call.mayRedirect) return undefined
+    const all = config.enginesOf(call.model).filter(e => e.region === endpoint.region)
+    const mean = this.#parts.endpoints.meanPerWeight(all, now)
+    const weight = all.reduce((sum, e) => sum + e.weight, 0)
+    const added = requestWork(call.placement, cached)
+    const policy = new PlacementPolicy(config)
+    if (policy.fits(load.work(now), added, endpoint.weight, mean, weight, true)) return undefined
+    return { kind: 'declined', endpoint: endpoint.id, load: load.work(now) / endpoint.weight }
+  }
+
+  #run (call: ChatCall, body: Uint8Array, endpoint: EndpointInfo, load: EndpointLoad, cached: number, sink: IChatSink, run: Run): void {
+    const item = load.begin(call.account, requestWork(call.placement, cached), this.#parts.clock.nowMs())
+    const counting: IChatSink = {
+      onAccepted: id => sink.onAccepted(id),
+      onReply: reply => sink.onReply(reply),
+      onEvents: (bytes, events, done) => {
+        load.progress(item, events)
+        sink.onEvents(bytes, events, done)
+      },
+      onError: (error, sent) => {
+        load.failed(this.#parts.clock.nowMs())
+        sink.onError(error, sent)
+      }
+    }
+    const opened = this.#stream(endpoint, call, counting, run, stream => stream.start(call, body), () => load.end(item))
+    if (!opened) load.end(item)
+  }
+
+  #stream (endpoint: EndpointInfo, call: ResumeCall, sink: IChatSink, run: Run, begin: (stream: EngineStream) => void, ended: () => void): boolean {
+    if (run.stopped) return false
+    const streams = this.#streams.get(endpoint.id) ?? new Set()
+    this.#streams.set(endpoint.id, streams)
+    const finish = (): void => {
+      if (streams.delete(stream)) ended()
+    }
+    const stream: EngineStream = new EngineStream(this.#agent, this.#parts.links, endpoint, call.requestId, call.from, call.timeoutMs, {
+      onAccepted: () => sink.onAccepted(endpoint.id),
+      onEvents: (bytes, events, done) => {
+        if (done) finish()
+        sink.onEvents(bytes, events, done)
+      },
+      onError: (error, sent) => {
+        finish()
+        sink.onError(error, sent)
+      }
+    })
+    streams.add(stream)
+    run.bind(stream, finish)
+    begin(stream)
+    return true
+  }
+
+  #warming (engine: EndpointInfo | undefined): boolean {
+    if (engine === undefined || this.#parts.fleet.homeOf(engine.id) !== this.#parts.fleet.self.id) return false
+    const uptimeMs = this.#parts.endpoints.uptimeMs(engine.id)
+    return uptimeMs !== undefined && uptimeMs < WARMING_MS
+  }
+
+  #onEvicted (eviction: Eviction): void {
+    for (const key of eviction.keys) {
+      const [keyHash, tag] = key.split('.').map(part => parseInt(part, 36))
+      if (keyHash === undefined || tag === undefined) continue
+      if (this.#directory.get(keyHash, tag)?.endpoint === eviction.endpoint.hash) this.#directory.delete(keyHash, tag)
+    }
+  }
+}
+
+const SILENT_SINK = { onAccepted: () => {}, onEvents: () => {}, onError: () => {} }
+
+/** Handle given out before the stream exists. */
+class Run implements IChatRun {
+  #stream: EngineStream | undefined
+  #finish: () => void = () => {}
+  #stopped = false
+
+  get stopped (): boolean {
+    return this.#stopped
+  }
+
+  bind (stream: EngineStream, finish: () => void): void {
+    this.#stream = stream
+    this.#finish = finish
+  }
+
+  stop (): void {
+    this.#stopped = true
+    this.#finish()
+    this.#stream?.stop()
+  }
+
+  pause (): void {
+    this.#stream?.pause()
+  }
+
+  resume (): void {
+    this.#stream?.resume()
+  }
+}
--- /dev/null
+++ b/src/router/PeerApi.ts
@@ -0,0 +1,174 @@
+/** tRPC between routers and for operators: small questions and answers. Streamed bodies go over plain HTTP. */
+import { createTRPCClient, httpLink } from '@trpc/client'
+import { initTRPC, TRPCError } from '@trpc/server'
+import { HEADER } from '../common/Constants.js'
+import type { RefusedVersion } from '../common/config/ConfigJoin.js'
+import type { ChatEntry } from '../common/placement/ChatDirectory.js'
+import type { InstanceAddress, MemberState, PlatformList } from '../common/Types.js'
+import { constantTimeEqual } from './Crypto.js'
+import type { ConfigManifest } from './ConfigTask.js'
+import type { Fleet } from './Fleet.js'
+import type { LinkFilter } from './LinkFilter.js'
+
+const CALL_TIMEOUT_MS = 2_000
+
+/** A member as one instance sees it. */
+export interface MemberStatus extends InstanceAddress {
+  readonly state: MemberState
+}
+
+/** Load of an endpoint at its home. */
+export interface EndpointStatus {
+  readonly id: string
+  /** Outstanding work in decode tokens; -1 when it takes no new work. */
+  readonly work: number
+  readonly inFlight: number
+  readonly leaving: boolean
+}
+
+/** State of one instance, for operators. */
+export interface NodeStatus {
+  readonly id: string
+  readonly dataCentre: string
+  readonly ready: boolean
+  readonly revision: number
+  readonly digest: string
+  readonly refused: RefusedVersion | null
+  readonly members: readonly MemberStatus[]
+  readonly endpoints: readonly EndpointStatus[]
+  readonly chats: number
+  readonly keys: number
+  readonly controlBytes: { readonly sent: number, readonly received: number }
+  readonly controlMemoryBytes: number
+  readonly uptimeMs: number
+}
+
+/** Where a chat would go and why. */
+export interface Explanation {
+  readonly ranked: readonly string[]
+  readonly home: string | null
+  readonly engine: string | null
+  readonly reason: string
+  readonly cachedTokens: number
+}
+
+/** What the API asks of the router. */
+export interface IPeerApiHost {
+  manifest (): ConfigManifest | undefined
+  parts (ids: readonly string[]): ReadonlyArray<readonly [string, string]>
+  list (): PlatformList | undefined
+  status (): NodeStatus
+  where (keyHash: number, tag: number): ChatEntry | undefined
+  explain (account: string, model: string, chat: string): Explanation
+  /** Gives an endpoint the order to drain; the answer names the fencing number. */
+  drain (endpoint: string, undo: boolean): Promise<string>
+  blockLinks (names: readonly string[]): boolean
+}
+
+interface ApiContext {
+  readonly authorized: boolean
+}
+
+type Fields = Readonly<Record<string, unknown>>
+
+function fields (input: unknown): Fields {
+  if (typeof input !== 'object' || input === null) throw new TRPCError({ code: 'BAD_REQUEST', message: 'an object is expected' })
+  return input as Fields
+}
+
+function text (input: Fields, name: string): string {
+  const value = input[name]
+  if (typeof value !== 'string' || value === '') throw new TRPCError({ code: 'BAD_REQUEST', message: `/${name}: must be text` })
+  return value
+}
+
+function number (input: Fields, name: string): number {
+  const value = input[name]
+  if (typeof value !== 'number') throw new TRPCError({ code: 'BAD_REQUEST', message: `/${name}: must be a number` })
+  return value
+}
+
+function texts (input: Fields, name: string): readonly string[] {
+  const value = input[name]
+  if (!Array.isArray(value) || value.some(v => typeof v !== 'string')) throw new TRPCError({ code: 'BAD_REQUEST', message: `/${name}: must be a list of texts` })
+  return value as readonly string[]
+}
+
+/** Builds the API; every procedure needs the peer secret. */
+export function createPeerApi (host: IPeerApiHost) {
+  const t = initTRPC.context<ApiContext>().create()
+  const procedure = t.procedure.use(({ ctx, next }) => {
+    if (!ctx.authorized) throw new TRPCError({ code: 'UNAUTHORIZED' })
+    return next()
+  })
+  return t.router({
+    config: t.router({
+      manifest: procedure.query(() => host.manifest() ?? null),
+      parts: procedure.input(input => ({ ids: texts(fields(input), 'ids') })).query(({ input }) => host.parts(input.ids))
+    }),
+    list: t.router({ get: procedure.query(() => host.list() ?? null) }),
+    status: procedure.query(() => host.status()),
+    where: procedure
+      .input(input => ({ keyHash: number(fields(input), 'keyHash'), tag: number(fields(input), 'tag') }))
+      .query(({ input }) => host.where(input.keyHash, input.tag) ?? null),
+    explain: procedure
+      .input(input => ({ account: text(fields(input), 'account'), model: text(fields(input), 'model'), chat: text(fields(input), 'chat') }))
+      .query(({ input }) => host.explain(input.account, input.model, input.chat)),
+    drain: procedure
+      .input(input => ({ endpoint: text(fields(input), 'endpoint'), undo: fields(input).undo === true }))
+      .mutation(async ({ input }) => await host.drain(input.endpoint, input.undo)),
+    blockLinks: procedure.input(input => ({ names: texts(fields(input), 'names') })).mutation(({ input }) => host.blockLinks(input.names))
+  })
+}
+
+export type PeerApi = ReturnType<typeof createPeerApi>
+
+/** Context of a request: whether it carries the secret. */
+export function apiContext (secret: string, header: string | undefined): ApiContext {
+  return { authorized: header !== undefined && constantTimeEqual(header, secret) }
+}
+
+/** Client of one instance's API. */
+export function createPeerApiClient (address: string, port: number, secret: string) {
+  return createTRPCClient<PeerApi>({
+    links: [httpLink({
+      url: `http://${address}:${port}/trpc`,
+      headers: { [HEADER.peerAuth]: secret },
+      fetch: async (url, init) => await fetch(url, { ...init, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) } as RequestInit)
+    })]
+  })
+}
+
+export type PeerApiClient = ReturnType<typeof createPeerApiClient>
+
+/** Clients of all peers, made when first needed. */
+export class PeerApiClients {
+  readonly #fleet: Fleet
+  readonly #secret: string
+  readonly #links: LinkFilter
+  readonly #clients = new Map<string, PeerApiClient>()
+
+  constructor (fleet: Fleet, secret: string, links: LinkFilter) {
+    this.#fleet = fleet
+    this.#secret = secret
+    this.#links = links
+  }
+
+  /** The client of an instance; undefined when its address is not known or the link is down. */
+  of (id: string): PeerApiClient | undefined {
+    const to = this.#fleet.address(id)
+    if (to === undefined || !this.#links.passes(id)) return undefined
+    return this.at(to.address, to.peerPort)
+  }
+
+  /** The client of an address. */
+  at (address: string, port: number): PeerApiClient {
+    const name = `${address}:${port}`
+    let client = this.#clients.get(name)
+    if (client === undefined) {
+      client = createPeerApiClient(address, port, this.#secret)
+      this.#clients.set(name, client)
+    }
+    return client
+  }
+}
--- /dev/null
+++ b/src/router/PeerServer.ts
@@ -0,0 +1,194 @@
+/** Listener for peers and operators: chats and service calls over plain HTTP, everything else over tRPC. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { HEADER } from '../common/Constants.js'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { RouteError } from '../common/Errors.js'
+import { constantTimeEqual } from './Crypto.js'
+import type { Log } from './Log.js'
+import type { Metrics } from './Metrics.js'
+import { apiContext, createPeerApi, type IPeerApiHost } from './PeerApi.js'
+import { readBody } from './RequestBody.js'
+import type { ServiceRunner } from './ServiceRunner.js'
+import type { Tracing } from './Tracing.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall, ServiceCallMessage } from './Types.js'
+
+const KEEP_ALIVE_MS = 60_000
+
+/** What the listener passes requests to. */
+export interface PeerServerParts {
+  readonly home: IHome
+  readonly runner: ServiceRunner
+  readonly api: IPeerApiHost
+  readonly metrics: Metrics
+  readonly tracing: Tracing
+  readonly log: Log
+  readonly secret: string
+  readonly maxBodyBytes: number
+}
+
+/** Streams a chat's answer to a peer. */
+class PeerSink implements IChatSink {
+  readonly #res: ServerResponse
+  run: IChatRun | undefined
+
+  constructor (res: ServerResponse) {
+    this.#res = res
+    res.on('drain', () => this.run?.resume())
+  }
+
+  onAccepted (endpoint: string): void {
+    if (this.#res.headersSent) return
+    this.#res.writeHead(200, { 'content-type': 'text/event-stream', 'x-endpoint': endpoint })
+    this.#res.flushHeaders()
+  }
+
+  onEvents (bytes: Uint8Array, _events: number, done: boolean): void {
+    if (done) this.#res.end(bytes)
+    else if (!this.#res.write(bytes)) this.run?.pause()
+  }
+
+  onReply (reply: HomeReply): void {
+    sendReply(this.#res, reply)
+  }
+
+  /** Once the stream has begun, closing it tells the peer to read on elsewhere. */
+  onError (error: RouteError): void {
+    sendReply(this.#res, { kind: 'error', error })
+  }
+}
+
+function sendReply (res: ServerResponse, reply: HomeReply): void {
+  if (res.headersSent) {
+    res.destroy()
+    return
+  }
+  res.writeHead(409, { 'content-type': 'application/json' })
+  res.end(JSON.stringify(reply))
+}
+
+export class PeerServer extends Disposable {
+  readonly #parts: PeerServerParts
+  readonly #server: Server
+  readonly #trpc: (req: IncomingMessage, res: ServerResponse) => void
+  #active = 0
+
+  constructor (parts: PeerServerParts) {
+    super()
+    this.#parts = parts
+    this.#trpc = createHTTPHandler({
+      router: createPeerApi(parts.api),
+      basePath: '/trpc/',
+      createContext: ({ req }) => apiContext(parts.secret, headerOf(req, HEADER.peerAuth))
+    })
+    this.#server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, (req, res) => {
+      this.#handle(req, res).catch((e: unknown) => {
+        parts.log.error({ step: 'forward', err: String(e) }, 'peer request failed')
+        res.destroy()
+      })
+    })
+    this.own(toDisposable(() => this.#server.close()))
+  }
+
+  /** Peer requests in progress. */
+  get active (): number {
+    return this.#active
+  }
+
+  async listen (address: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, address, 4096, resolve)
+    })
+  }
+
+  async #handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = req.url ?? '/'
+    if (url === '/metrics') {
+      const { registry } = this.#parts.metrics
+      res.writeHead(200, { 'content-type': registry.contentType })
+      res.end(await registry.metrics())
+      return
+    }
+    if (url.startsWith('/trpc/')) {
+      this.#count(req, res)
+      this.#trpc(req, res)
+      return
+    }
+    if (!constantTimeEqual(headerOf(req, HEADER.peerAuth) ?? '', this.#parts.secret)) {
+      res.writeHead(401)
+      res.end()
+      return
+    }
+    const call: unknown = JSON.parse(decodeURIComponent(headerOf(req, HEADER.peerCall) ?? '{}'))
+    this.#active++
+    res.on('close', () => { this.#active-- })
+    if (url === '/peer/chat') await this.#chat(call as ChatCall, req, res)
+    else if (url === '/peer/resume') this.#resume(call as ResumeCall, res)
+    else if (url === '/peer/cancel') this.#cancel(call as ResumeCall, res)
+    else if (url === '/peer/service') await this.#service(call as ServiceCallMessage, req, res)
+    else res.writeHead(404).end()
+  }
+
+  async #chat (call: ChatCall, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req, this.#parts.maxBodyBytes)
+    if (body.isErr()) {
+      sendReply(res, { kind: 'error', error: body.error })
+      return
+    }
+    const hop = this.#parts.tracing.hop('home.chat', call.traceparent)
+    res.on('close', () => hop.end({ requestId: call.requestId, endpoint: call.endpoint, account: call.account }))
+    const sink = new PeerSink(res)
+    sink.run = this.#parts.home.chat(hop.traceparent === undefined ? call : { ...call, traceparent: hop.traceparent }, body.value, sink)
+    stopOnClose(res, sink.run)
+  }
+
+  #resume (call: ResumeCall, res: ServerResponse): void {
+    const sink = new PeerSink(res)
+    sink.run = this.#parts.home.resume(call, sink)
+    stopOnClose(res, sink.run)
+  }
+
+  #cancel (call: ResumeCall, res: ServerResponse): void {
+    this.#parts.home.cancel(call.requestId, call.endpoint)
+    res.writeHead(204).end()
+  }
+
+  async #service (call: ServiceCallMessage, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req, this.#parts.maxBodyBytes)
+    const hop = this.#parts.tracing.hop('home.service', call.traceparent)
+    const result = body.isErr() ? body : await this.#parts.runner.run(call, body.value)
+    hop.end({ requestId: call.requestId, service: call.service, account: call.account })
+    if (result.isErr()) {
+      res.writeHead(409, { 'content-type': 'application/json' })
+      res.end(JSON.stringify(result.error))
+      return
+    }
+    const head = encodeURIComponent(JSON.stringify({ status: result.value.status, headers: result.value.headers }))
+    res.writeHead(200, { 'x-answer': head, 'content-length': result.value.body.length })
+    res.end(result.value.body)
+  }
+
+  /** Counts the bytes of calls that carry no request. */
+  #count (req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req
+    const readBefore = socket.bytesRead
+    const writtenBefore = socket.bytesWritten
+    res.on('finish', () => {
+      const head = req.rawHeaders.reduce((sum, h) => sum + h.length + 2, 0)
+      this.#parts.metrics.control('received', 'trpc', Math.max(head, socket.bytesRead - readBefore))
+      this.#parts.metrics.control('sent', 'trpc', Math.max(0, socket.bytesWritten - writtenBefore))
+    })
+  }
+}
+
+function headerOf (req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+function stopOnClose (res: ServerResponse, run: IChatRun): void {
+  res.on('close', () => {
+    if (!res.writableEnded) run.stop()
+  })
+}
--- /dev/null
+++ b/src/router/PeerSocket.ts
@@ -0,0 +1,56 @@
+/** UDP socket of the membership protocol: owns the socket, counts its bytes, drops what is not signed. */
+import { createSocket, type Socket } from 'node:dgram'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
+import type { PeerDatagram } from '../common/generated/PeerDatagram.js'
+import type { InstanceAddress } from '../common/Types.js'
+import type { DatagramCodec } from './DatagramCodec.js'
+import type { LinkFilter } from './LinkFilter.js'
+import type { Metrics } from './Metrics.js'
+
+function senderOf (datagram: PeerDatagram): string {
+  return 'from' in datagram ? datagram.from.id : datagram.id
+}
+
+export class PeerSocket extends Disposable {
+  readonly #socket: Socket
+  readonly #codec: DatagramCodec
+  readonly #links: LinkFilter
+  readonly #metrics: Metrics
+  readonly #received = this.own(new Emitter<PeerDatagram>())
+
+  /** Fires for each datagram that a peer signed. */
+  readonly onDatagram = this.#received.event
+
+  constructor (codec: DatagramCodec, links: LinkFilter, metrics: Metrics) {
+    super()
+    this.#codec = codec
+    this.#links = links
+    this.#metrics = metrics
+    this.#socket = createSocket('udp4')
+    this.#socket.on('message', bytes => this.#receive(bytes))
+    this.#socket.on('error', () => {}) // a send to a closed port is no fault of this node
+    this.own(toDisposable(() => this.#socket.close()))
+  }
+
+  async bind (address: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once('error', reject)
+      this.#socket.bind(port, address, () => resolve())
+    })
+  }
+
+  send (to: InstanceAddress, datagram: PeerDatagram): void {
+    if (this.isDisposed || !this.#links.passes(to.id)) return
+    const bytes = this.#codec.encode(datagram)
+    this.#metrics.control('sent', datagram.kind, bytes.length)
+    this.#socket.send(bytes, to.peerPort, to.address)
+  }
+
+  #receive (bytes: Buffer): void {
+    const decoded = this.#codec.decode(bytes)
+    if (decoded.isErr() || !this.#links.passes(senderOf(decoded.value))) return
+    this.#metrics.control('received', decoded.value.kind, bytes.length)
+    this.#received.fire(decoded.value)
+  }
+}
--- /dev/null
+++ b/src/router/PlatformClient.ts
@@ -0,0 +1,79 @@
+/** Reads the platform: configuration, instance list. Every call is counted, as the platform limits them. */
+import { err, ResultAsync, type Result } from 'neverthrow'
+import { Agent, request } from 'undici'
+import type { PlatformList } from '../common/Types.js'
+import type { LinkFilter } from './LinkFilter.js'
+import type { Metrics } from './Metrics.js'
+
+const ANSWER_TIMEOUT_MS = 3_000
+
+/** The configuration service's newest value. */
+export interface PublishedFile {
+  readonly revision: number
+  readonly text: string
+}
+
+/** Why a read gave nothing. */
+export interface PlatformError {
+  readonly step: 'connect' | 'read'
+  readonly peer: 'platform'
+  readonly detail: string
+}
+
+function platformError (step: PlatformError['step'], e: unknown): PlatformError {
+  return { step, peer: 'platform', detail: e instanceof Error ? e.message : String(e) }
+}
+
+export class PlatformClient {
+  readonly #base: string
+  readonly #metrics: Metrics
+  readonly #links: LinkFilter
+  readonly #agent = new Agent({ connections: 4 })
+
+  constructor (base: string, metrics: Metrics, links: LinkFilter) {
+    this.#base = base
+    this.#metrics = metrics
+    this.#links = links
+  }
+
+  /** Waits up to `waitMs` for a revision other than `after`. */
+  async revision (after: number, waitMs: number): Promise<Result<number, PlatformError>> {
+    return await this.#get(`/v1/config/revision?after=${after}&waitMs=${waitMs}`, 'watch', waitMs, body => {
+      const revision = (JSON.parse(body.text) as { readonly revision?: unknown }).revision
+      if (typeof revision !== 'number') throw new Error('no revision')
+      return revision
+    })
+  }
+
+  async file (): Promise<Result<PublishedFile, PlatformError>> {
+    return await this.#get('/v1/config', 'config', 0, body => {
+      if (!Number.isFinite(body.revision)) throw new Error('no x-revision')
+      return body
+    })
+  }
+
+  /** Waits up to `waitMs` for a list other than revision `after`. */
+  async list (after: number, waitMs: number): Promise<Result<PlatformList, PlatformError>> {
+    return await this.#get(`/v1/list?after=${after}&waitMs=${waitMs}`, 'list', waitMs, body => {
+      const list = JSON.parse(body.text) as Partial<PlatformList>
+      if (!Array.isArray(list.instances) || !Array.isArray(list.endpoints) || typeof list.revision !== 'number') throw new Error('not a list')
+      return list as PlatformList
+    })
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #get<T> (path: string, kind: string, waitMs: number, parse: (body: PublishedFile) => T): Promise<Result<T, PlatformError>> {
+    if (!this.#links.passes('platform')) return err(platformError('connect', 'link is down'))
+    this.#metrics.platformReads.inc({ kind })
+    const read = async (): Promise<T> => {
+      const res = await request(this.#base + path, { dispatcher: this.#agent, headersTimeout: waitMs + ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS })
+      const text = await res.body.text()
+      if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`)
+      return parse({ text, revision: Number(res.headers['x-revision']) })
+    }
+    return await ResultAsync.fromPromise(read(), e => platformError('read', e))
+  }
+}
--- /dev/null
+++ b/src/router/RemoteHome.ts
@@ -0,0 +1,152 @@
+/** Home on a peer: streamed bodies go over plain HTTP, as tRPC has no cheap way to pass bytes on unparsed. */
+import { Agent } from 'undici'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { HEADER } from '../common/Constants.js'
+import { routeError } from '../common/Errors.js'
+import { SseFramer } from '../common/sse/SseFramer.js'
+import type { InstanceAddress } from '../common/Types.js'
+import { startExchange, type HttpExchange, type HttpRequest } from './HttpStream.js'
+import type { LinkFilter } from './LinkFilter.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall } from './Types.js'
+
+const CONNECT_TIMEOUT_MS = 1_000
+const HEADERS_TIMEOUT_MS = 15_000 // an engine may think this long before it accepts
+
+/** Connections to all peers. */
+export class PeerConnections extends Disposable {
+  readonly agent = new Agent({ connections: null, pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS } })
+  readonly secret: string
+  readonly links: LinkFilter
+
+  constructor (secret: string, links: LinkFilter) {
+    super()
+    this.secret = secret
+    this.links = links
+    this.own(toDisposable(() => { this.agent.destroy().catch(() => {}) }))
+  }
+}
+
+export class RemoteHome implements IHome {
+  readonly #peers: PeerConnections
+  readonly #peer: InstanceAddress
+
+  constructor (peers: PeerConnections, peer: InstanceAddress) {
+    this.#peers = peers
+    this.#peer = peer
+  }
+
+  chat (call: ChatCall, body: Uint8Array, sink: IChatSink): IChatRun {
+    return this.#open({ ...this.#request('/peer/chat', call, call.timeoutMs), body }, call.endpoint, sink)
+  }
+
+  resume (call: ResumeCall, sink: IChatSink): IChatRun {
+    return this.#open(this.#request('/peer/resume', call, call.timeoutMs), call.endpoint, sink)
+  }
+
+  cancel (requestId: string, endpoint: string): void {
+    const ignore = (): void => {}
+    startExchange(this.#peers.agent, this.#request('/peer/cancel', { requestId, endpoint }, CONNECT_TIMEOUT_MS), {
+      onHead: ignore, onData: ignore, onEnd: ignore, onError: ignore
+    })
+  }
+
+  #request (path: string, call: object, timeoutMs: number): HttpRequest {
+    return {
+      origin: `http://${this.#peer.address}:${this.#peer.peerPort}`,
+      path,
+      method: 'POST',
+      headers: { [HEADER.peerAuth]: this.#peers.secret, [HEADER.peerCall]: encodeURIComponent(JSON.stringify(call)) },
+      headersTimeoutMs: HEADERS_TIMEOUT_MS,
+      bodyTimeoutMs: timeoutMs
+    }
+  }
+
+  #open (req: HttpRequest, endpoint: string, sink: IChatSink): IChatRun {
+    const reader = new HomeReader(this.#peers.links, this.#peer.id, endpoint, sink)
+    if (!this.#peers.links.passes(this.#peer.id)) {
+      setImmediate(() => reader.failed(new Error('link is down'), false))
+      return reader
+    }
+    reader.exchange = startExchange(this.#peers.agent, req, {
+      onHead: (status, headers) => reader.head(status, String(headers['content-type'] ?? '')),
+      onData: chunk => reader.data(chunk),
+      onEnd: () => reader.ended(),
+      onError: (e, sent) => reader.failed(e, sent)
+    })
+    return reader
+  }
+}
+
+/** Reads the answer of a home: a stream of whole events, or one reply. */
+class HomeReader implements IChatRun {
+  readonly #links: LinkFilter
+  readonly #peer: string
+  readonly #endpoint: string
+  readonly #sink: IChatSink
+  readonly #framer = new SseFramer()
+  exchange: HttpExchange | undefined
+  #streaming = false
+  #text = ''
+  #over = false
+
+  constructor (links: LinkFilter, peer: string, endpoint: string, sink: IChatSink) {
+    this.#links = links
+    this.#peer = peer
+    this.#endpoint = endpoint
+    this.#sink = sink
+  }
+
+  head (status: number, type: string): void {
+    this.#streaming = status === 200 && type.startsWith('text/event-stream')
+    if (this.#streaming && !this.#over) this.#sink.onAccepted(this.#endpoint)
+  }
+
+  data (chunk: Buffer): void {
+    if (this.#over) return
+    if (!this.#links.passes(this.#peer)) {
+      this.exchange?.abort()
+      return
+    }
+    if (!this.#streaming) {
+      this.#text += chunk.toString()
+      return
+    }
+    const frame = this.#framer.push(chunk)
+    if (frame.events === 0) return
+    if (frame.done) this.#over = true
+    this.#sink.onEvents(frame.bytes, frame.events, frame.done)
+  }
+
+  ended (): void {
+    if (this.#over) return
+    if (this.#streaming) {
+      this.failed(new Error('ended early'), true)
+      return
+    }
+    this.#over = true
+    try {
+      this.#sink.onReply(JSON.parse(this.#text) as HomeReply)
+    } catch {
+      this.#sink.onError(routeError('response_lost', 'forward', this.#peer, 'unreadable reply'), true)
+    }
+  }
+
+  failed (e: Error, sent: boolean): void {
+    if (this.#over) return
+    this.#over = true
+    this.#sink.onError(routeError(sent ? 'response_lost' : 'peer_unreachable', 'forward', this.#peer, e.message), sent)
+  }
+
+  stop (): void {
+    this.#over = true
+    this.exchange?.abort()
+  }
+
+  pause (): void {
+    this.exchange?.pause()
+  }
+
+  resume (): void {
+    this.exchange?.resume()
+  }
+}
--- /dev/null
+++ b/src/router/RequestBody.ts
@@ -0,0 +1,29 @@
+/** Reads request bodies whole, within a limit. */
+import type { IncomingMessage } from 'node:http'
+import { err, ok, type Result } from 'neverthrow'
+import { routeError, type RouteError } from '../common/Errors.js'
+
+/** Reads a body; one that is too long is left unread, one that stops half way is an error. */
+export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
+  if (Number(req.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge(maxBytes))
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= maxBytes) {
+        chunks.push(chunk)
+        return
+      }
+      req.pause()
+      resolve(err(tooLarge(maxBytes)))
+    })
+    req.on('end', () => resolve(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))))
+    req.on('error', e => resolve(err(routeError('invalid_request', 'accept', 'caller', `The body stopped half way: ${e.message}`))))
+    req.on('close', () => resolve(err(routeError('invalid_request', 'accept', 'caller', 'The body stopped half way.'))))
+  })
+}
+
+function tooLarge (maxBytes: number): RouteError {
+  return routeError('body_too_large', 'accept', 'caller', `At most ${maxBytes} bytes are taken.`)
+}
--- /dev/null
+++ b/src/router/RequestId.ts
@@ -0,0 +1,27 @@
+/** Ids of chats: they carry the chat's key and model, so that any entry can find the answer again with no store. */
+import { hashString } from '../common/Hash.js'
+import { randomId } from './Crypto.js'
+
+const REQUEST_ID = /^chat~([0-9a-z]{1,7})~([0-9a-z]{1,7})~([0-9a-z]{1,7})~[A-Za-z0-9_-]{8,32}$/
+
+/** What a request id says. */
+export interface RequestName {
+  readonly keyHash: number
+  readonly tag: number
+  readonly modelHash: number
+}
+
+export function modelHash (model: string): number {
+  return hashString(model, 0x85157af5)
+}
+
+export function createRequestId (keyHash: number, tag: number, model: string): string {
+  return `chat~${keyHash.toString(36)}~${tag.toString(36)}~${modelHash(model).toString(36)}~${randomId()}`
+}
+
+export function parseRequestId (id: string): RequestName | undefined {
+  const match = REQUEST_ID.exec(id)
+  if (match === null) return undefined
+  const [keyHash, tag, model] = match.slice(1, 4).map(part => parseInt(part, 36))
+  return { keyHash: keyHash!, tag: tag!, modelHash: model! }
+}
--- /dev/null
+++ b/src/router/Router.ts
@@ -0,0 +1,223 @@
+/** Composition root of a router process: builds the tasks, wires them, starts and stops them. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Disposable } from '../common/Disposable.js'
+import type { VotedConfig } from '../common/config/VotedConfig.js'
+import { placementOf } from '../common/placement/ChatKey.js'
+import { RetryBudget } from '../common/limits/RetryBudget.js'
+import type { IClock, IRandom } from '../common/Services.js'
+import type { InstanceAddress, MemberState } from '../common/Types.js'
+import { Allowances } from './Allowances.js'
+import { CallerAuth } from './CallerAuth.js'
+import { CallerServer } from './CallerServer.js'
+import { ChatEntry } from './ChatEntry.js'
+import { ConfigTask } from './ConfigTask.js'
+import { DatagramCodec } from './DatagramCodec.js'
+import { Endpoints } from './Endpoints.js'
+import { Fleet } from './Fleet.js'
+import { KeyOwner } from './KeyOwner.js'
+import { LinkFilter } from './LinkFilter.js'
+import { ListTask } from './ListTask.js'
+import { LocalHome, rankEngines } from './LocalHome.js'
+import type { Log } from './Log.js'
+import { Metrics } from './Metrics.js'
+import { Orders } from './Orders.js'
+import { PeerApiClients, type Explanation, type IPeerApiHost, type NodeStatus } from './PeerApi.js'
+import { PeerServer } from './PeerServer.js'
+import { PeerSocket } from './PeerSocket.js'
+import { PlatformClient } from './PlatformClient.js'
+import { PeerConnections, RemoteHome } from './RemoteHome.js'
+import { ServiceEntry } from './ServiceEntry.js'
+import { ServiceRunner } from './ServiceRunner.js'
+import type { FullSettings } from './Settings.js'
+import { Tracing } from './Tracing.js'
+import type { IHome } from './Types.js'
+
+const STOP_POLL_MS = 50
+const SETTLE_MS = 600 // after the last request, so that answers on the way are out
+
+export class Router extends Disposable implements IPeerApiHost {
+  readonly #settings: FullSettings
+  readonly #clock: IClock
+  readonly #log: Log
+  readonly #links = new LinkFilter()
+  readonly #metrics = new Metrics()
+  readonly #platform: PlatformClient
+  readonly #config: ConfigTask
+  readonly #socket: PeerSocket
+  readonly #fleet: Fleet
+  readonly #peerApis: PeerApiClients
+  readonly #endpoints: Endpoints
+  readonly #home: LocalHome
+  readonly #keys: KeyOwner
+  readonly #list: ListTask
+  readonly #orders: Orders
+  readonly #peerServer: PeerServer
+  readonly #callers: CallerServer
+  readonly #remotes = new Map<string, RemoteHome>()
+  readonly #peers: PeerConnections
+  readonly #startedAt: number
+
+  constructor (settings: FullSettings, clock: IClock, random: IRandom, log: Log) {
+    super()
+    this.#settings = settings
+    this.#clock = clock
+    this.#log = log
+    this.#startedAt = clock.nowMs()
+    const self: InstanceAddress = { id: settings.id, dataCentre: settings.dataCentre, address: settings.address, peerPort: settings.peerPort }
+    const config = (): VotedConfig | undefined => this.#config.current
+    this.#platform = new PlatformClient(settings.platform, this.#metrics, this.#links)
+    this.#config = this.own(new ConfigTask(clock, this.#platform, this.#metrics, log))
+    this.#socket = this.own(new PeerSocket(new DatagramCodec(settings.peerSecret), this.#links, this.#metrics))
+    this.#fleet = this.own(new Fleet(self, clock, random, this.#socket, { config, loads: () => this.#endpoints.digestLoads() }))
+    this.#peerApis = new PeerApiClients(this.#fleet, settings.peerSecret, this.#links)
+    this.#endpoints = this.own(new Endpoints(this.#fleet, clock, this.#links))
+    this.#peers = this.own(new PeerConnections(settings.peerSecret, this.#links))
+    const shared = { config, fleet: this.#fleet, endpoints: this.#endpoints, clock, links: this.#links, metrics: this.#metrics }
+    this.#home = this.own(new LocalHome(shared))
+    this.#keys = this.own(new KeyOwner(this.#fleet, clock, this.#socket))
+    this.#orders = new Orders(shared)
+    const runner = this.own(new ServiceRunner({ ...shared, keys: this.#keys }))
+    const budget = new RetryBudget()
+    const tracing = new Tracing(log, settings.traceSample, random)
+    const chats = this.own(new ChatEntry({ ...shared, budget, homeAt: id => this.#homeAt(id), peers: this.#peerApis, tracing, log }))
+    const services = new ServiceEntry({ ...shared, budget, peers: this.#peers, runner })
+    const allowances = this.own(new Allowances(this.#fleet, clock, this.#socket, config))
+    const { maxBodyBytes, peerSecret: secret } = settings
+    const own = { metrics: this.#metrics, tracing, log, maxBodyBytes }
+    this.#list = this.own(new ListTask(this.#fleet, this.#platform, this.#peerApis, random))
+    this.#peerServer = this.own(new PeerServer({ ...own, home: this.#home, runner, api: this, secret }))
+    this.#callers = this.own(new CallerServer({ ...own, config, auth: new CallerAuth(), allowances, chats, services, keys: this.#keys, instance: self.id }))
+    this.own(this.#fleet.onChange(() => this.#refresh()))
+    this.own(this.#config.onChange(() => {
+      this.#fleet.configChanged()
+      this.#refresh()
+    }))
+  }
+
+  /** Listens, learns the fleet and the file in force, then turns ready. */
+  async start (): Promise<void> {
+    const { address, peerPort, callerPort, peers } = this.#settings
+    await this.#socket.bind(address, peerPort)
+    await this.#peerServer.listen(address, peerPort)
+    await this.#callers.listen(address, callerPort)
+    await this.#learnSeeds(peers)
+    await this.#list.start()
+    await this.#config.start(this.#fleet, this.#peerApis)
+    if (this.#config.current === undefined) this.own(this.#config.onChange(() => this.#callers.turnReady()))
+    else this.#callers.turnReady()
+    this.#log.info({ step: 'start', revision: this.#config.current?.version.revision ?? 0 }, 'ready')
+  }
+
+  /** Graceful shutdown: unready first, hands its roles over, ends every request in flight, then leaves. */
+  async stop (): Promise<void> {
+    this.#log.info({ step: 'stop' }, 'draining')
+    this.#callers.drain()
+    this.#fleet.leave()
+    await sleep(this.#settings.drainMs)
+    this.#callers.close()
+    while (this.#callers.active + this.#peerServer.active > 0) await sleep(STOP_POLL_MS)
+    await sleep(SETTLE_MS)
+    while (this.#callers.active + this.#peerServer.active > 0) await sleep(STOP_POLL_MS)
+    this.dispose()
+    await this.#platform.close()
+    this.#log.info({ step: 'stop' }, 'stopped')
+  }
+
+  manifest (): ReturnType<ConfigTask['manifest']> {
+    return this.#config.manifest()
+  }
+
+  parts (ids: readonly string[]): ReturnType<ConfigTask['parts']> {
+    return this.#config.parts(ids)
+  }
+
+  list (): Fleet['list'] {
+    return this.#fleet.list
+  }
+
+  where (keyHash: number, tag: number): ReturnType<LocalHome['where']> {
+    return this.#home.where(keyHash, tag)
+  }
+
+  async drain (endpoint: string, undo: boolean): Promise<string> {
+    return await this.#orders.drain(endpoint, undo)
+  }
+
+  blockLinks (names: readonly string[]): boolean {
+    if (!this.#settings.faultInjection) return false
+    this.#links.block(names)
+    return true
+  }
+
+  explain (account: string, model: string, chat: string): Explanation {
+    const config = this.#config.current
+    const placement = placementOf(account, { model, messages: [{ role: 'user', content: '' }] }, chat)
+    const known = { fleet: this.#fleet, endpoints: this.#endpoints, clock: this.#clock }
+    const ranked = config === undefined ? [] : rankEngines(known, config, model, placement.keyHash, [])
+    const decision = this.#home.decide(model, placement, [])
+    return {
+      ranked: ranked.map(e => e.id),
+      home: ranked[0] === undefined ? null : this.#fleet.homeOf(ranked[0].id) ?? null,
+      engine: decision?.engine.id ?? null,
+      reason: decision?.reason ?? 'none',
+      cachedTokens: decision?.cachedTokens ?? 0
+    }
+  }
+
+  status (): NodeStatus {
+    const version = this.#config.current?.version
+    const { id, dataCentre } = this.#settings
+    return {
+      id,
+      dataCentre,
+      ready: this.#config.current !== undefined,
+      revision: version?.revision ?? 0,
+      digest: version?.digest ?? '',
+      refused: this.#config.refused ?? null,
+      members: this.#fleet.members.map(m => ({ id: m.id, dataCentre: m.dataCentre, state: m.state, address: m.address, peerPort: m.peerPort })),
+      endpoints: this.#endpoints.snapshot(),
+      chats: this.#home.chats,
+      keys: this.#keys.ledger.size,
+      controlBytes: this.#metrics.controlTotals(),
+      controlMemoryBytes: this.#home.directoryBytes + this.#config.bytes,
+      uptimeMs: this.#clock.nowMs() - this.#startedAt
+    }
+  }
+
+  /** Learns peers from the addresses in the settings, for a start while the platform is down. */
+  async #learnSeeds (seeds: readonly string[]): Promise<void> {
+    await Promise.all(seeds.map(async seed => {
+      const [address, port] = seed.split(':')
+      if (address === this.#settings.address && Number(port) === this.#settings.peerPort) return
+      try {
+        const status = await this.#peerApis.at(address!, Number(port)).status.query()
+        this.#fleet.learn([{ id: status.id, dataCentre: status.dataCentre, address: address!, peerPort: Number(port) }])
+        this.#fleet.learn(status.members.filter(m => m.state === 'alive'))
+        const list = await this.#peerApis.at(address!, Number(port)).list.get.query()
+        if (list !== null) this.#fleet.offerList(list)
+      } catch {
+        this.#log.debug({ step: 'start', peer: seed }, 'seed gave no answer')
+      }
+    }))
+  }
+
+  #refresh (): void {
+    this.#endpoints.refresh(this.#config.current)
+    const counts: Record<MemberState, number> = { alive: 1, suspect: 0, dead: 0, leaving: 0 }
+    for (const m of this.#fleet.members) counts[m.state]++
+    for (const [state, count] of Object.entries(counts)) this.#metrics.members.set({ state }, count)
+  }
+
+  #homeAt (id: string): IHome | undefined {
+    if (id === this.#fleet.self.id) return this.#home
+    const to = this.#fleet.address(id)
+    if (to === undefined) return undefined
+    const name = `${id}@${to.address}:${to.peerPort}`
+    let remote = this.#remotes.get(name)
+    if (remote === undefined) {
+      remote = new RemoteHome(this.#peers, to)
+      this.#remotes.set(name, remote)
+    }
+    return remote
+  }
+}
--- /dev/null
+++ b/src/router/ServiceEntry.ts
@@ -0,0 +1,167 @@
+/** Entry side of service calls: finds the node that runs a call and classifies what comes back. */
+import { err, ok, type Result } from 'neverthrow'
+import { Agent, type Dispatcher } from 'undici'
+import { HEADER } from '../common/Constants.js'
+import type { VotedConfig } from '../common/config/VotedConfig.js'
+import { outcomeOf, routeError, type RouteError } from '../common/Errors.js'
+import type { RetryBudget } from '../common/limits/RetryBudget.js'
+import { parseTicket } from '../common/once/KeyNames.js'
+import { UNAVAILABLE } from '../common/placement/LoadView.js'
+import { ownerOf } from '../common/Rendezvous.js'
+import type { IClock } from '../common/Services.js'
+import { randomId } from './Crypto.js'
+import type { Endpoints } from './Endpoints.js'
+import type { Fleet } from './Fleet.js'
+import { startExchange } from './HttpStream.js'
+import { keyOwnerOf } from './KeyOwner.js'
+import type { Metrics } from './Metrics.js'
+import type { PeerConnections } from './RemoteHome.js'
+import type { ServiceRunner } from './ServiceRunner.js'
+import type { ServiceAnswer, ServiceCallMessage } from './Types.js'
+
+const MAX_RETRIES = 2
+const CONNECT_TIMEOUT_MS = 1_000
+const MARGIN_MS = 1_000 // the runner answers for its own timeout before the entry gives up
+
+/** Parts that the entry works with. */
+export interface ServiceEntryParts {
+  readonly config: () => VotedConfig | undefined
+  readonly fleet: Fleet
+  readonly endpoints: Endpoints
+  readonly clock: IClock
+  readonly metrics: Metrics
+  readonly budget: RetryBudget
+  readonly peers: PeerConnections
+  readonly runner: ServiceRunner
+}
+
+export class ServiceEntry {
+  readonly #parts: ServiceEntryParts
+
+  constructor (parts: ServiceEntryParts) {
+    this.#parts = parts
+  }
+
+  async call (call: ServiceCallMessage, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
+    this.#parts.budget.request()
+    return call.key === undefined ? await this.#callPlain(call, body) : await this.#callKeyed(call, call.key, body)
+  }
+
+  /** A key goes to its one owner; another node could not vouch for it. */
+  async #callKeyed (call: ServiceCallMessage, key: string, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
+    const owner = this.#ownerOf(call.service, key)
+    if (owner === undefined) return err(routeError('owner_cannot_vouch', 'own', call.service, 'The owner of the key is not known.', 2_000))
+    const result = await this.#forward(owner, call, body)
+    const unreached = result.isErr() && (result.error.code === 'peer_unreachable' || result.error.code === 'deadline_passed')
+    if (!unreached) return result
+    const detail = 'The owner of the key can not be reached.'
+    return err(routeError(parseTicket(key) === undefined ? 'owner_cannot_vouch' : 'ticket_lost', 'own', owner, detail, 2_000))
+  }
+
+  #ownerOf (service: string, key: string): string | undefined {
+    const ticket = parseTicket(key)
+    if (ticket !== undefined) return ticket.instance
+    const { fleet } = this.#parts
+    const workers = this.#parts.config()?.workersOf(service) ?? []
+    const dataCentre = ownerOf(key, [...new Set(workers.map(w => w.dataCentre))].sort())
+    return dataCentre === undefined ? undefined : keyOwnerOf(key, fleet.listed(dataCentre))
+  }
+
+  /** What certainly did not run is tried again; what may have run only when it may be repeated. */
+  async #callPlain (call: ServiceCallMessage, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
+    const deadline = this.#parts.clock.nowMs() + call.timeoutMs
+    const avoided: string[] = []
+    for (let retries = 0; ; retries++) {
+      const timeoutMs = deadline - this.#parts.clock.nowMs()
+      if (timeoutMs <= 0) return err(routeError('deadline_passed', 'forward', call.service))
+      const node = this.#pickNode(call.service, avoided)
+      if (node === undefined) return err(routeError('no_endpoint', 'place', call.service, 'no usable worker', 1_000))
+      const result = await this.#forward(node, { ...call, timeoutMs }, body)
+      if (result.isOk() || !mayRepeat(result.error, call) || retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) return result
+      this.#parts.metrics.retries.inc({ cause: result.error.code })
+      avoided.push(node)
+    }
+  }
+
+  /** The home of the least loaded worker that this node knows of, else this node itself. */
+  #pickNode (service: string, avoided: readonly string[]): string | undefined {
+    const { endpoints, fleet, clock } = this.#parts
+    const now = clock.nowMs()
+    const region = this.#parts.config()?.regionOf(fleet.self.dataCentre)
+    const options = (this.#parts.config()?.workersOf(service) ?? []).flatMap(w => {
+      const home = fleet.homeOf(w.id)
+      const work = endpoints.work(w.hash, now)
+      if (home === undefined || avoided.includes(home) || work === UNAVAILABLE) return []
+      return [{ home, cost: (work ?? 1) / w.weight + (w.region === region ? 0 : 1e6) }]
+    })
+    options.sort((a, b) => a.cost - b.cost)
+    return options[0]?.home ?? (avoided.includes(fleet.self.id) ? undefined : fleet.self.id)
+  }
+
+  async #forward (node: string, call: ServiceCallMessage, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
+    const { fleet, runner, peers } = this.#parts
+    if (node === fleet.self.id) return await runner.run(call, body)
+    const to = fleet.address(node)
+    if (to === undefined || !peers.links.passes(node)) return err(routeError('peer_unreachable', 'forward', node, 'no way to it'))
+    // see ServiceRunner: a kept connection can't tell an unsent request from a lost answer
+    const own = call.neverRepeat || call.key !== undefined
+    const agent = own ? new Agent({ connections: 1, pipelining: 0, connect: { timeout: CONNECT_TIMEOUT_MS } }) : peers.agent
+    const result = await this.#exchange(agent, `http://${to.address}:${to.peerPort}`, node, call, body)
+    if (own) agent.destroy().catch(() => {})
+    return result
+  }
+
+  async #exchange (agent: Dispatcher, origin: string, node: string, call: ServiceCallMessage, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
+    const { peers } = this.#parts
+    return await new Promise(resolve => {
+      let status = 0
+      let head = ''
+      const chunks: Buffer[] = []
+      const gone = this.#parts.fleet.onGone(id => { if (id === node) exchange.abort() })
+      const finish = (result: Result<ServiceAnswer, RouteError>): void => {
+        gone.dispose()
+        clearTimeout(timer)
+        resolve(result)
+      }
+      const exchange = startExchange(agent, {
+        origin,
+        path: '/peer/service',
+        method: 'POST',
+        headers: { [HEADER.peerAuth]: peers.secret, [HEADER.peerCall]: encodeURIComponent(JSON.stringify(call)) },
+        ...(body.length > 0 ? { body } : {}),
+        headersTimeoutMs: call.timeoutMs + MARGIN_MS,
+        bodyTimeoutMs: call.timeoutMs + MARGIN_MS
+      }, {
+        onHead: (code, headers) => {
+          status = code
+          head = String(headers['x-answer'] ?? '')
+        },
+        onData: chunk => { chunks.push(chunk) },
+        onEnd: () => finish(answerOf(status, head, Buffer.concat(chunks), node)),
+        onError: (e, sent) => finish(err(routeError(sent ? 'response_lost' : 'peer_unreachable', 'forward', node, e.message)))
+      })
+      const timer = setTimeout(() => exchange.abort(), call.timeoutMs + MARGIN_MS)
+      if (!peers.links.passes(node)) exchange.abort()
+    })
+  }
+}
+
+function mayRepeat (error: RouteError, call: ServiceCallMessage): boolean {
+  if (error.code === 'overloaded' || error.code === 'deadline_passed') return false
+  return outcomeOf(error) === 'not-run' || !call.neverRepeat
+}
+
+function answerOf (status: number, head: string, body: Buffer, node: string): Result<ServiceAnswer, RouteError> {
+  try {
+    if (status === 409) return err(JSON.parse(body.toString()) as RouteError)
+    if (status !== 200) return err(routeError('response_lost', 'forward', node, `status ${status}`))
+    return ok({ ...JSON.parse(decodeURIComponent(head)) as Omit<ServiceAnswer, 'body'>, body })
+  } catch {
+    return err(routeError('response_lost', 'forward', node, 'unreadable reply'))
+  }
+}
+
+/** Id of a service call, for logs and for the endpoint. */
+export function serviceRequestId (): string {
+  return `call~${randomId()}`
+}
--- /dev/null
+++ b/src/router/Tracing.ts
@@ -0,0 +1,68 @@
+/** Spans of each hop in OpenTelemetry's model, written as JSON lines; W3C `traceparent` is taken in and passed on. */
+import { ROOT_CONTEXT, SpanKind, TraceFlags, trace, type Span, type SpanContext, type Tracer } from '@opentelemetry/api'
+import { BasicTracerProvider, SimpleSpanProcessor, type ReadableSpan, type SpanExporter } from '@opentelemetry/sdk-trace-base'
+import type { IRandom } from '../common/Services.js'
+import type { Log } from './Log.js'
+
+const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/
+
+class LogExporter implements SpanExporter {
+  readonly #log: Log
+
+  constructor (log: Log) {
+    this.#log = log
+  }
+
+  export (spans: ReadableSpan[], done: (result: { code: number }) => void): void {
+    for (const span of spans) {
+      const { traceId, spanId } = span.spanContext()
+      const durationMs = span.duration[0] * 1000 + span.duration[1] / 1e6
+      this.#log.info({ span: span.name, traceId, spanId, parentId: span.parentSpanContext?.spanId, durationMs, ...span.attributes }, 'span')
+    }
+    done({ code: 0 })
+  }
+
+  async shutdown (): Promise<void> {}
+}
+
+function parse (header: string | undefined): SpanContext | undefined {
+  const match = TRACEPARENT.exec(header ?? '')
+  return match === null ? undefined : { traceId: match[1]!, spanId: match[2]!, traceFlags: parseInt(match[3]!, 16), isRemote: true }
+}
+
+/** A span that may not be sampled. */
+export interface Hop {
+  /** Header for the next hop; undefined when the request is not traced. */
+  readonly traceparent: string | undefined
+  end (attributes: Readonly<Record<string, string | number>>): void
+}
+
+const UNTRACED: Hop = { traceparent: undefined, end: () => {} }
+
+export class Tracing {
+  readonly #tracer: Tracer
+  readonly #sample: number
+  readonly #random: IRandom
+
+  /** @param sample part of the requests traced when the caller sends no traceparent, 0 to 1. */
+  constructor (log: Log, sample: number, random: IRandom) {
+    const provider = new BasicTracerProvider({ spanProcessors: [new SimpleSpanProcessor(new LogExporter(log))] })
+    this.#tracer = provider.getTracer('radishloft')
+    this.#sample = sample
+    this.#random = random
+  }
+
+  /** Starts the span of a hop. */
+  hop (name: string, traceparent: string | undefined): Hop {
+    const parent = parse(traceparent)
+    if (parent === undefined ? this.#random.next() >= this.#sample : (parent.traceFlags & TraceFlags.SAMPLED) === 0) return { ...UNTRACED, traceparent }
+    const context = parent === undefined ? ROOT_CONTEXT : trace.setSpanContext(ROOT_CONTEXT, parent)
+    const span = this.#tracer.startSpan(name, { kind: SpanKind.SERVER }, context)
+    return { traceparent: format(span), end: attributes => { span.setAttributes({ ...attributes }).end() } }
+  }
+}
+
+function format (span: Span): string {
+  const { traceId, spanId } = span.spanContext()
+  return `00-${traceId}-${spanId}-01`
+}
--- /dev/null
+++ b/src/tools/Site.ts
@@ -0,0 +1,252 @@
+/** Starts a site of separate processes on loopback, and breaks them on request. A development tool: routers start no process. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createHash } from 'node:crypto'
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+import type { VotedFile } from '../common/generated/VotedFile.js'
+import { createPeerApiClient, type PeerApiClient, type NodeStatus } from '../router/PeerApi.js'
+import type { EngineFaults, EngineStats } from '../standin/EngineServer.js'
+import type { PlatformFaults } from '../standin/PlatformServer.js'
+import type { ServiceFaults, ServiceStats } from '../standin/ServiceServer.js'
+import { namesOf, votedFile, type SiteNames, type SiteSpec } from './SiteSpec.js'
+
+const PEER_SECRET = 'development-peer-secret'
+const START_TIMEOUT_MS = 20_000
+const POLL_MS = 50
+
+/** A process of the site. */
+interface Proc {
+  readonly child: ChildProcess
+  readonly exited: Promise<number | null>
+}
+
+export class Site {
+  readonly spec: SiteSpec
+  readonly names: SiteNames
+  readonly #dir = mkdtempSync(join(tmpdir(), 'radishloft-'))
+  readonly #procs = new Map<string, Proc>()
+  readonly #gone = new Set<string>()
+  #revision = 0
+
+  constructor (spec: SiteSpec) {
+    this.spec = spec
+    this.names = namesOf(spec)
+  }
+
+  get entries (): string[] {
+    return this.names.routers.map(r => `http://127.0.0.1:${r.callerPort}`)
+  }
+
+  /** Folder of the processes' logs. */
+  get logDir (): string {
+    return this.#dir
+  }
+
+  /** Starts everything and waits until all routers are ready. */
+  async start (): Promise<void> {
+    this.#spawn('platform', 'standin', ['platform', '--port', String(this.names.platformPort), '--list-lag-ms', String(this.spec.listLagMs)])
+    for (const e of this.names.engines) this.startEngine(e.id)
+    for (const w of this.names.workers) this.startWorker(w.id)
+    await this.#untilUp(this.names.platformPort, '/_stats')
+    await this.publish(votedFile(this.spec))
+    await this.publishList()
+    for (const r of this.names.routers) this.startRouter(r.id)
+    await Promise.all(this.names.routers.map(r => this.untilReady(r.id)))
+  }
+
+  startEngine (id: string): void {
+    const engine = this.names.engines.find(e => e.id === id)!
+    const settings = { ...this.spec.engine, id, port: engine.port, seed: engine.port }
+    this.#spawn(id, 'standin', ['engine', JSON.stringify(settings)])
+  }
+
+  startWorker (id: string): void {
+    const worker = this.names.workers.find(w => w.id === id)!
+    this.#spawn(id, 'standin', ['service', '--id', id, '--port', String(worker.port)])
+  }
+
+  startRouter (id: string): void {
+    const router = this.names.routers.find(r => r.id === id)!
+    const seeds = this.names.routers.filter(r => r.id !== id).slice(0, 4).map(r => `127.0.0.1:${r.peerPort}`)
+    const path = join(this.#dir, `${id}.json`)
+    writeFileSync(path, JSON.stringify({
+      id,
+      dataCentre: router.dataCentre,
+      address: '127.0.0.1',
+      callerPort: router.callerPort,
+      peerPort: router.peerPort,
+      peerSecret: PEER_SECRET,
+      platform: `http://127.0.0.1:${this.names.platformPort}`,
+      peers: seeds,
+      faultInjection: true,
+      logLevel: 'info'
+    }))
+    this.#spawn(id, 'router', ['--settings', path])
+  }
+
+  async untilReady (id: string): Promise<void> {
+    await this.#untilUp(this.names.routers.find(r => r.id === id)!.callerPort, '/readyz')
+  }
+
+  /** Sends a signal to a process by its id. */
+  signal (id: string, signal: NodeJS.Signals): void {
+    this.#procs.get(id)?.child.kill(signal)
+  }
+
+  /** Waits for a process to exit; gives its exit code. */
+  async exited (id: string): Promise<number | null> {
+    return await (this.#procs.get(id)?.exited ?? Promise.resolve(null))
+  }
+
+  /** Publishes a file as the users would; returns its digest. */
+  async publish (file: VotedFile | string): Promise<string> {
+    const text = typeof file === 'string' ? file : JSON.stringify(file)
+    const res = await request(`http://127.0.0.1:${this.names.platformPort}/_config`, { method: 'PUT', body: text })
+    this.#revision = (await res.body.json() as { readonly revision: number }).revision
+    return createHash('sha256').update(text).digest('base64url')
+  }
+
+  get revision (): number {
+    return this.#revision
+  }
+
+  /** Tells the platform's list which instances and endpoints there are. */
+  async publishList (leaving: readonly string[] = []): Promise<void> {
+    const state = (id: string): 'live' | 'leaving' => leaving.includes(id) ? 'leaving' : 'live'
+    const present = <T extends { readonly id: string }>(rows: readonly T[]): T[] => rows.filter(r => !this.#gone.has(r.id))
+    const list = {
+      instances: present(this.names.routers).map(r => ({ id: r.id, dataCentre: r.dataCentre, address: '127.0.0.1', peerPort: r.peerPort, state: state(r.id) })),
+      endpoints: present([...this.names.engines, ...this.names.workers]).map(e => ({ id: e.id, state: state(e.id) }))
+    }
+    await this.#post(this.names.platformPort, '/_list', list)
+  }
+
+  /** Takes an instance or endpoint off the platform's list, or puts it back. */
+  setGone (id: string, gone: boolean): void {
+    if (gone) this.#gone.add(id)
+    else this.#gone.delete(id)
+  }
+
+  async platformFault (faults: PlatformFaults): Promise<{ readonly reads: number }> {
+    return await this.#post(this.names.platformPort, '/_fault', faults)
+  }
+
+  async engineFault (id: string, faults: EngineFaults): Promise<EngineStats> {
+    return await this.#post(this.names.engines.find(e => e.id === id)!.port, '/_fault', faults)
+  }
+
+  async workerFault (id: string, faults: ServiceFaults): Promise<ServiceStats> {
+    return await this.#post(this.names.workers.find(w => w.id === id)!.port, '/_fault', faults)
+  }
+
+  /** Stats of all engines that answer. */
+  async engineStats (): Promise<EngineStats[]> {
+    return await this.#statsOf<EngineStats>(this.names.engines.map(e => e.port))
+  }
+
+  async workerStats (): Promise<ServiceStats[]> {
+    return await this.#statsOf<ServiceStats>(this.names.workers.map(w => w.port))
+  }
+
+  api (id: string): PeerApiClient {
+    return createPeerApiClient('127.0.0.1', this.names.routers.find(r => r.id === id)!.peerPort, PEER_SECRET)
+  }
+
+  /** Status of all routers that answer. */
+  async statuses (): Promise<NodeStatus[]> {
+    const all = await Promise.allSettled(this.names.routers.map(async r => await this.api(r.id).status.query()))
+    return all.flatMap(s => s.status === 'fulfilled' ? [s.value] : [])
+  }
+
+  /** Time until every router has a file of this digest in force. */
+  async untilInForce (digest: string, timeoutMs: number, except: readonly string[] = []): Promise<number> {
+    const started = performance.now()
+    const behind = new Set(this.names.routers.map(r => r.id).filter(id => !except.includes(id)))
+    while (behind.size > 0) {
+      if (performance.now() - started > timeoutMs) throw new Error(`not in force after ${timeoutMs} ms at ${[...behind].join(', ')}`)
+      await Promise.all([...behind].map(async id => {
+        try {
+          if ((await this.api(id).config.manifest.query())?.digest === digest) behind.delete(id)
+        } catch {
+          // down or restarting; asked again
+        }
+      }))
+      if (behind.size > 0) await sleep(POLL_MS)
+    }
+    return performance.now() - started
+  }
+
+  /** Cuts two groups of names from each other; an empty list heals all. */
+  async cut (side: readonly string[], other: readonly string[]): Promise<void> {
+    const block = async (ids: readonly string[], names: readonly string[]): Promise<void> => {
+      await Promise.all(ids.filter(id => this.names.routers.some(r => r.id === id)).map(async id => {
+        await this.api(id).blockLinks.mutate({ names: [...names] }).catch(() => {})
+      }))
+    }
+    await Promise.all([block(side, other), block(other, side)])
+  }
+
+  async heal (): Promise<void> {
+    await this.cut(this.names.routers.map(r => r.id), [])
+  }
+
+  /** Names of everything in a data centre. */
+  membersOf (dataCentre: string): string[] {
+    return [...this.names.routers, ...this.names.engines, ...this.names.workers].filter(x => x.dataCentre === dataCentre).map(x => x.id)
+  }
+
+  /** Ends all processes that this site started. */
+  async stop (keepLogs = false): Promise<void> {
+    for (const { child } of this.#procs.values()) {
+      child.kill('SIGCONT')
+      child.kill('SIGKILL')
+    }
+    await Promise.all([...this.#procs.values()].map(p => p.exited))
+    if (!keepLogs) rmSync(this.#dir, { recursive: true, force: true })
+  }
+
+  #spawn (id: string, program: 'router' | 'standin', args: readonly string[]): void {
+    const main = fileURLToPath(new URL(`../${program}/main.js`, import.meta.url))
+    const log = openSync(join(this.#dir, `${id}.log`), 'a')
+    const child = spawn(process.execPath, [main, ...args], { stdio: ['ignore', log, log] })
+    closeSync(log)
+    const exited = new Promise<number | null>(resolve => child.once('exit', code => resolve(code)))
+    this.#procs.set(id, { child, exited })
+  }
+
+  async #untilUp (port: number, path: string): Promise<void> {
+    const end = performance.now() + START_TIMEOUT_MS
+    while (performance.now() < end) {
+      try {
+        const res = await request(`http://127.0.0.1:${port}${path}`, { headersTimeout: 1_000 })
+        await res.body.dump()
+        if (res.statusCode === 200) return
+      } catch {
+        // not listening yet
+      }
+      await sleep(POLL_MS)
+    }
+    throw new Error(`port ${port} not up after ${START_TIMEOUT_MS} ms; logs in ${this.#dir}`)
+  }
+
+  async #post<T> (port: number, path: string, body: object): Promise<T> {
+    const res = await request(`http://127.0.0.1:${port}${path}`, { method: 'POST', body: JSON.stringify(body) })
+    return await res.body.json() as T
+  }
+
+  async #statsOf<T> (ports: readonly number[]): Promise<T[]> {
+    const all = await Promise.allSettled(ports.map(async port => {
+      const res = await request(`http://127.0.0.1:${port}/_stats`, { headersTimeout: 2_000 })
+      return await res.body.json() as T
+    }))
+    return all.flatMap(s => s.status === 'fulfilled' ? [s.value] : [])
+  }
+}
+
+/** Waits. */
+export async function sleep (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
