Add the demo

Cause: nothing showed the whole under a failure with one command. Change: npm run demo starts Cusco's size on loopback and disturbs it.

--- a/src/common/membership/Membership.test.ts
+++ b/src/common/membership/Membership.test.ts
@@ -62,7 +62,8 @@
   #post (from: string, out: readonly Outgoing[]): void {
     for (const o of out) {
       this.sent++
-      if (this.linked(from, o.to.id) && this.#random.next() >= this.lossRate) this.#wire.push({ at: this.now + DELAY_MS, from, to: o.to.id, datagram: o.datagram })
+      if (!this.linked(from, o.to.id) || this.#random.next() < this.lossRate) continue
+      this.#wire.push({ at: this.now + DELAY_MS, from, to: o.to.id, datagram: o.datagram })
     }
   }
 
--- /dev/null
+++ b/src/tools/demo.ts
@@ -0,0 +1,144 @@
+/**
+ * `npm run demo`: a site of Cusco's size on loopback under load, with a router killed, a router stopped, an
+ * engine drained and a file published meanwhile. Counted at callers and stand-ins; only the control bytes are
+ * the routers' own count. The last line is one JSON object.
+ */
+import { LoadRunner, type LoadCounts } from '../load/LoadRunner.js'
+import { Site, sleep } from './Site.js'
+import { cuscoSpec, keyOf, votedFile } from './SiteSpec.js'
+import { SkewSampler } from './SkewSampler.js'
+
+const BASE_PORT = 21_000
+const SECONDS = 20
+const SETTLE_MS = 9_000 // owners of keys can vouch once their leases have settled
+const KILLED = 'r4'
+const STOPPED = 'r7'
+const DRAINED = 'e2'
+const MEAN_FLOOR_TOKENS = 100
+
+function log (text: string): void {
+  console.log(`[${new Date().toISOString().slice(11, 19)}] ${text}`)
+}
+
+async function disturb (site: Site, skew: SkewSampler): Promise<number> {
+  await sleep(4_000)
+  log(`kill router ${KILLED} (SIGKILL), as an instance that fails`)
+  site.signal(KILLED, 'SIGKILL')
+  site.setGone(KILLED, true)
+  await site.publishList()
+  await sleep(3_000)
+  log(`drain engine ${DRAINED}`)
+  skew.skip(DRAINED)
+  log(await site.api('r1').drain.mutate({ endpoint: DRAINED, undo: false }))
+  await sleep(3_000)
+  log('publish a new file')
+  const inForceMs = await site.untilInForce(await site.publish(votedFile(site.spec, 60)), 10_000, [KILLED])
+  log(`in force on every router after ${Math.round(inForceMs)} ms`)
+  log(`stop router ${STOPPED} (SIGTERM), as planned`)
+  site.signal(STOPPED, 'SIGTERM')
+  await site.exited(STOPPED)
+  log(`router ${STOPPED} ended its requests and left`)
+  return inForceMs
+}
+
+/** Runs of calls that the callers were told had not run, and calls that ran twice. */
+async function markedRuns (site: Site, counts: LoadCounts): Promise<{ readonly doubleRuns: number, readonly notRunButRan: number }> {
+  const runs = (await site.workerStats()).flatMap(w => Object.entries(w.runs))
+  const total = new Map<string, number>()
+  for (const [id, n] of runs) total.set(id, (total.get(id) ?? 0) + n)
+  const doubleRuns = [...total.values()].filter(n => n > 1).length
+  const notRunButRan = [...counts.calls].filter(([id, outcome]) => outcome === 'not-run' && total.has(id)).length
+  return { doubleRuns, notRunButRan }
+}
+
+async function main (): Promise<number> {
+  const spec = cuscoSpec(BASE_PORT)
+  const site = new Site(spec)
+  try {
+    log(`start ${spec.routers} routers, ${spec.engines} engines, ${spec.workers} workers in ${spec.dataCentres.length} data centres`)
+    await site.start()
+    log('all routers are ready; key leases settle')
+    await sleep(SETTLE_MS)
+    const accounts = votedFile(spec).accounts.map(a => ({ id: a.id, key: keyOf(a.id), weight: a.tier === 'large' ? 8 : 1 }))
+    const load = new LoadRunner({
+      entries: site.entries,
+      accounts,
+      model: 'assistant',
+      service: 'orders',
+      path: '/reservations',
+      chats: 140,
+      callers: 6,
+      seconds: SECONDS,
+      seed: 1,
+      pauseMs: 500,
+      promptChars: 1_600,
+      answerTokens: 40
+    })
+    const skew = new SkewSampler(site, MEAN_FLOOR_TOKENS)
+    const before = await site.statuses()
+    const started = performance.now()
+    log(`drive 140 returning chats and 6 callers of marked calls for ${SECONDS} s`)
+    const progress = setInterval(() => log(`${load.counts.requests} requests, ${load.counts.answered} answered, ${load.counts.wrongAnswers} wrong`), 4_000)
+    const [counts, configInForceMs] = await Promise.all([load.run(), disturb(site, skew)])
+    clearInterval(progress)
+    skew.dispose()
+    return await report(site, counts, configInForceMs, skew, before, (performance.now() - started) / 1000)
+  } finally {
+    await site.stop()
+  }
+}
+
+async function report (
+  site: Site, counts: LoadCounts, configInForceMs: number, skew: SkewSampler, before: Awaited<ReturnType<Site['statuses']>>, seconds: number
+): Promise<number> {
+  const { doubleRuns, notRunButRan } = await markedRuns(site, counts)
+  const engines = await site.engineStats()
+  const sum = (pick: (e: typeof engines[number]) => number): number => engines.reduce((total, e) => total + pick(e), 0)
+  const reuse = sum(e => e.returningCached) / Math.max(1, sum(e => e.returningTokens))
+  const perNode = (await site.statuses()).flatMap(s => {
+    const old = before.find(b => b.id === s.id)
+    return old === undefined ? [] : [(s.controlBytes.sent + s.controlBytes.received - old.controlBytes.sent - old.controlBytes.received) / seconds]
+  })
+  const summary = {
+    requests: counts.requests,
+    answered: counts.answered,
+    notRun: counts.notRun,
+    outcomeUnknown: counts.outcomeUnknown,
+    wrongAnswers: counts.wrongAnswers,
+    cutStreams: counts.cutStreams,
+    doubleRuns,
+    reuse: round(reuse, 3),
+    skew: round(skew.quantile(0.99), 2),
+    controlBytesPerSecPerNode: Math.round(perNode.reduce((a, b) => a + b, 0) / perNode.length),
+    configInForceMs: Math.round(configInForceMs)
+  }
+  const latencies = counts.firstTokenMs.sort((a, b) => a - b)
+  console.log(`
+answered            ${summary.answered} of ${summary.requests} requests; ${summary.notRun} not run, ${summary.outcomeUnknown} outcome unknown
+whole answers       ${summary.wrongAnswers} wrong, ${summary.cutStreams} cut, ${counts.resumed} read on through another entry
+at most once        ${counts.calls.size} marked calls, ${doubleRuns} ran twice, ${notRunButRan} ran though refused as not run
+first token         p95 ${Math.round(latencies[Math.floor(latencies.length * 0.95)] ?? 0)} ms
+prefix reuse        ${(reuse * 100).toFixed(1)}% of the prompt tokens of returning chats
+skew                ${summary.skew} highest over mean engine load, worst second; median second ${round(skew.quantile(0.5), 2)}
+control traffic     ${summary.controlBytesPerSecPerNode} bytes/s a router, sent and received
+new file in force   after ${summary.configInForceMs} ms on every router
+not answered        ${summarize(counts.failures)}
+`)
+  console.log(JSON.stringify(summary))
+  return summary.wrongAnswers + doubleRuns + summary.cutStreams + notRunButRan > 0 ? 1 : 0
+}
+
+function summarize (failures: readonly string[]): string {
+  const byCode = new Map<string, number>()
+  for (const f of failures) {
+    const code = f.split('@')[0]!
+    byCode.set(code, (byCode.get(code) ?? 0) + 1)
+  }
+  return byCode.size === 0 ? 'none' : [...byCode].map(([code, n]) => `${n} ${code}`).join(', ')
+}
+
+function round (value: number, digits: number): number {
+  return Number(value.toFixed(digits))
+}
+
+process.exit(await main())
