Read answers on through another home, and admit callers that share a grant

Cause: a refused connection to a dead home in mid-stream was taken as a request that had not begun (7 cut streams); callers that waited for one grant of one admission were refused (13 rate_limited far below the voted rate). Ruled out: the voted rate itself; the engines, which kept the streams. Change: the next instance in rank stands in for a home that does not answer; a started answer is always read on; only an empty owner refuses; floors wait up to 300 ms in place of refusing.

--- a/src/common/limits/AllowancePurse.ts
+++ b/src/common/limits/AllowancePurse.ts
@@ -10,6 +10,7 @@
 const AHEAD_SEC = 0.5 // admissions taken ahead, in seconds of recent demand
 const MAX_AHEAD = 256
 const FLOOR_BURST = 1 // the floors' bursts add up over all entries
+const FLOOR_WAIT_MS = 300 // smooths a burst in place of refusing it
 const REFUSED_MS = 100 // an empty owner is not asked again at once
 
 interface Purse {
@@ -29,10 +30,10 @@
   /** Spends one admission that is at hand. */
   spend (account: string, now: number): boolean {
     const purse = this.#purse(account, now)
-    this.#countDemand(purse, now)
     if (now - purse.takenAt > UNUSED_TTL_MS) purse.count = 0
     if (purse.count < 1) return false
     purse.count--
+    this.#countDemand(purse, now)
     return true
   }
 
@@ -51,12 +52,15 @@
     if (count === 0) purse.refusedUntil = now + REFUSED_MS
   }
 
-  /** Spends from the floor, for when the owner does not answer. @param ratePerSec this entry's part of the rate. */
-  spendFloor (account: string, ratePerSec: number, now: number): boolean {
+  /**
+   * Spends from the floor, for when the owner does not answer; returns the time to wait first, undefined when
+   * that is too long. @param ratePerSec this entry's part of the rate.
+   */
+  spendFloor (account: string, ratePerSec: number, now: number): number | undefined {
     const purse = this.#purse(account, now)
     purse.floor ??= new TokenBucket(ratePerSec, FLOOR_BURST, now)
     purse.floor.setRate(ratePerSec, FLOOR_BURST, now)
-    return purse.floor.take(1, now)
+    return purse.floor.reserve(1, FLOOR_WAIT_MS, now)
   }
 
   prune (now: number): void {
--- a/src/common/limits/Limits.test.ts
+++ b/src/common/limits/Limits.test.ts
@@ -22,7 +22,7 @@
       const wanted = purse.wanted('a', now)
       if (wanted > 0) purse.granted('a', owner.grant('a', rate, 1, wanted, now), now)
       if (purse.spend('a', now)) admitted++
-    } else if (purse.spendFloor('a', rate / entries, now)) {
+    } else if (purse.spendFloor('a', rate / entries, now) !== undefined) {
       admitted++
     }
   }
--- a/src/common/limits/TokenBucket.ts
+++ b/src/common/limits/TokenBucket.ts
@@ -28,6 +28,14 @@
     return true
   }
 
+  /** Takes `count` ahead of time when they come in within `maxWaitMs`; returns the time to wait. */
+  reserve (count: number, maxWaitMs: number, now: number): number | undefined {
+    const waitMs = this.waitMs(count, now)
+    if (waitMs > maxWaitMs) return undefined
+    this.#level -= count
+    return waitMs
+  }
+
   /** Takes up to `count`; returns what was there, in whole tokens. */
   takeUpTo (count: number, now: number): number {
     this.#refill(now)
--- a/src/enginemodel/BatchModel.ts
+++ b/src/enginemodel/BatchModel.ts
@@ -102,13 +102,12 @@
   }
 
   #decode (r: Running): void {
-    const count = Math.min(Math.floor(r.credit), r.job.answerTokens - r.decoded)
-    if (count > 0) {
-      r.credit -= count
-      r.decoded += count
-      r.job.onTokens(r.decoded)
-    }
-    if (r.decoded >= r.job.answerTokens) this.#running.delete(r.job.id)
+    const count = Math.max(0, Math.min(Math.floor(r.credit), r.job.answerTokens - r.decoded))
+    r.credit -= count
+    r.decoded += count
+    const ended = r.decoded >= r.job.answerTokens // at once for a continued answer that lacks only its end
+    if (ended) this.#running.delete(r.job.id)
+    if (count > 0 || ended) r.job.onTokens(r.decoded)
   }
 }
 
--- a/src/router/Allowances.ts
+++ b/src/router/Allowances.ts
@@ -1,4 +1,5 @@
 /** Task that admits requests by account: takes admissions from the account's owner, or spends the floor when it is silent. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { ClientAccount, VotedConfig } from '../common/config/VotedConfig.js'
 import type { AllowanceDatagram } from '../common/generated/PeerDatagram.js'
@@ -11,8 +12,12 @@
 import type { PeerSocket } from './PeerSocket.js'
 
 const GRANT_TIMEOUT_MS = 400 // longer than a round trip between regions
+const SILENT_MS = 1_000 // an owner that did not answer is not asked again at once
 const PRUNE_INTERVAL_MS = 10_000
 
+/** What came of asking the account's owner. */
+type TakeAnswer = 'granted' | 'empty' | 'silent'
+
 interface InstanceCandidate extends RendezvousCandidate {
   readonly id: string
 }
@@ -24,8 +29,9 @@
   readonly #config: () => VotedConfig | undefined
   readonly #owner = new AllowanceOwner()
   readonly #purse = new AllowancePurse()
-  readonly #takes = new Map<string, Promise<boolean>>()
+  readonly #takes = new Map<string, Promise<TakeAnswer>>()
   readonly #waiting = new Map<number, (count: number) => void>()
+  readonly #silentUntil = new Map<string, number>()
   #candidates: InstanceCandidate[] = []
   #seq = 0
 
@@ -44,15 +50,24 @@
 
   /** True when the account may start one more request. */
   async admit (account: ClientAccount): Promise<boolean> {
-    if (this.#purse.spend(account.id, this.#clock.nowMs())) return true
-    const answered = await this.#take(account)
-    const now = this.#clock.nowMs()
-    if (answered) return this.#purse.spend(account.id, now)
-    return this.#purse.spendFloor(account.id, account.requestsPerSec / this.#fleetSize(), now)
+    for (;;) {
+      if (this.#purse.spend(account.id, this.#clock.nowMs())) return true
+      const answer = await this.#take(account)
+      if (answer === 'silent') return await this.#spendFloor(account)
+      // callers that share a grant may find it spent: only an empty owner refuses
+      if (answer === 'empty') return false
+    }
+  }
+
+  async #spendFloor (account: ClientAccount): Promise<boolean> {
+    const rate = account.requestsPerSec / this.#fleetSize()
+    const waitMs = this.#purse.spendFloor(account.id, rate, this.#clock.nowMs())
+    if (waitMs !== undefined && waitMs > 0) await sleep(waitMs)
+    return waitMs !== undefined
   }
 
   /** One request for admissions at a time for each account; callers that come meanwhile share its answer. */
-  #take (account: ClientAccount): Promise<boolean> {
+  #take (account: ClientAccount): Promise<TakeAnswer> {
     const running = this.#takes.get(account.id)
     if (running !== undefined) return running
     const take = this.#ask(account).finally(() => this.#takes.delete(account.id))
@@ -60,24 +75,27 @@
     return take
   }
 
-  async #ask (account: ClientAccount): Promise<boolean> {
+  async #ask (account: ClientAccount): Promise<TakeAnswer> {
     const now = this.#clock.nowMs()
     const count = this.#purse.wanted(account.id, now)
-    if (count === 0) return true
+    if (count === 0) return 'empty'
     const owner = rankTop(hashString(account.id, 0x165667b1), this.#candidates, 1)[0]
-    if (owner === undefined) return false
-    if (owner.id === this.#fleet.self.id) {
-      this.#purse.granted(account.id, this.#grant(account, count), now)
-      return true
-    }
-    const to = this.#fleet.address(owner.id)
-    if (to === undefined) return false
+    if (owner === undefined) return 'silent'
+    const granted = owner.id === this.#fleet.self.id ? this.#grant(account, count) : await this.#askPeer(owner.id, account.id, count)
+    if (granted === undefined) return 'silent'
+    this.#purse.granted(account.id, granted, this.#clock.nowMs())
+    return granted > 0 ? 'granted' : 'empty'
+  }
+
+  /** Admissions that a peer grants; undefined when it does not answer. */
+  async #askPeer (owner: string, account: string, count: number): Promise<number | undefined> {
+    const to = this.#fleet.address(owner)
+    if (to === undefined || this.#clock.nowMs() < (this.#silentUntil.get(owner) ?? 0)) return undefined
     const seq = ++this.#seq
-    this.#socket.send(to, { kind: 'take', seq, id: this.#fleet.self.id, account: account.id, count })
+    this.#socket.send(to, { kind: 'take', seq, id: this.#fleet.self.id, account, count })
     const granted = await this.#answer(seq)
-    if (granted === undefined) return false
-    this.#purse.granted(account.id, granted, this.#clock.nowMs())
-    return true
+    if (granted === undefined) this.#silentUntil.set(owner, this.#clock.nowMs() + SILENT_MS)
+    return granted
   }
 
   async #answer (seq: number): Promise<number | undefined> {
@@ -124,6 +142,7 @@
   }
 
   #refresh (): void {
+    this.#silentUntil.clear()
     this.#candidates = this.#fleet.usable().map(id => ({ id, hash: hashString(id), weight: 1 }))
   }
 
--- a/src/router/ChatEntry.ts
+++ b/src/router/ChatEntry.ts
@@ -19,6 +19,7 @@
 import type { IChatSink } from './Types.js'
 
 const MAX_ENGINES_ASKED = 8 // when an answer is looked for after its caller lost the connection
+const FIND_DELAYS_MS = [0, 500, 1_500] // a home that died meanwhile is noticed within this
 const RESUME_TIMEOUT_MS = 120_000
 
 /** Parts that the entry works with. */
@@ -63,8 +64,12 @@
     const name = parseRequestId(requestId)
     const from = Number(headerOf(req, HEADER.lastEventId) ?? 0)
     if (name === undefined || !Number.isInteger(from) || from < 0) return routeError('invalid_request', 'accept', 'caller', 'The request id or Last-Event-ID is malformed.')
-    for (const endpoint of await this.#keepers(name, config)) {
-      if (await this.#readOn(endpoint, requestId, from, res)) return undefined
+    for (const delayMs of FIND_DELAYS_MS) {
+      await new Promise(resolve => setTimeout(resolve, delayMs))
+      for (const endpoint of await this.#keepers(name, config)) {
+        if (res.destroyed) return undefined
+        if (await this.#readOn(endpoint, requestId, from, res)) return undefined
+      }
     }
     return routeError('stream_not_found', 'resume', requestId)
   }
--- a/src/router/ChatSession.ts
+++ b/src/router/ChatSession.ts
@@ -5,7 +5,7 @@
  */
 import { MAX_PLACEMENT_ATTEMPTS } from '../common/Constants.js'
 import type { VotedConfig } from '../common/config/VotedConfig.js'
-import { outcomeOf, routeError, type RouteError } from '../common/Errors.js'
+import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import type { RetryBudget } from '../common/limits/RetryBudget.js'
 import { UNAVAILABLE } from '../common/placement/LoadView.js'
 import { ChatAssembler } from '../common/sse/ChatAssembler.js'
@@ -19,6 +19,7 @@
 const RECOVER_DELAYS_MS = [50, 300, 1_000, 2_500] as const // the last is past the time in which a dead home is noticed
 const MAX_REPLAYS = 3
 const MAX_RETRIES = 4
+const RETRIED: ReadonlySet<ErrorCode> = new Set(['endpoint_refused', 'peer_unreachable', 'no_endpoint', 'not_ready'])
 
 /** Parts that a session works with. */
 export interface SessionParts {
@@ -53,6 +54,7 @@
   readonly #body: Uint8Array
   readonly #out: ICallerStream
   readonly #excluded: string[] = []
+  readonly #avoided = new Set<string>() // homes that did not answer
   readonly #declined = new Map<string, number>()
   readonly #kept: Uint8Array[] = []
   #run: IChatRun | undefined
@@ -108,6 +110,7 @@
   instanceGone (id: string): void {
     if (this.#over || id !== this.#home) return
     this.#run?.stop()
+    this.#avoided.add(id)
     this.#broken(routeError('response_lost', 'stream', id, 'the home is gone'))
   }
 
@@ -187,7 +190,7 @@
 
   /** The home of an engine; remembers which it was. */
   #target (endpoint: string): IHome | undefined {
-    const id = this.#parts.fleet.homeOf(endpoint)
+    const id = this.#parts.fleet.homeAvoiding(endpoint, this.#avoided)
     this.#home = id ?? ''
     return id === undefined ? undefined : this.#parts.homeAt(id)
   }
@@ -204,14 +207,14 @@
     }
   }
 
-  /** The request did not run. */
+  /** This attempt did not run; an answer that has begun is still read on. */
   #refused (error: RouteError): void {
-    const again = error.code === 'endpoint_refused' || error.code === 'peer_unreachable' || error.code === 'no_endpoint' || error.code === 'not_ready'
-    if (outcomeOf(error) !== 'not-run') {
+    if (error.code === 'peer_unreachable') this.#avoided.add(this.#home)
+    if (this.#accepted || outcomeOf(error) !== 'not-run') {
       this.#broken(error)
       return
     }
-    if (!again || this.#retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) {
+    if (!RETRIED.has(error.code) || this.#retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) {
       this.#fail(error)
       return
     }
@@ -227,7 +230,7 @@
     this.#attempt++
     this.#parts.metrics.retries.inc({ cause: 'resume' })
     const delay = RECOVER_DELAYS_MS[this.#recoveries++]
-    const keeps = error.code !== 'stream_not_found' && error.peer !== this.#endpoint
+    const keeps = this.#accepted && error.code !== 'stream_not_found' && error.peer !== this.#endpoint
     if (keeps && delay !== undefined) {
       this.#later(delay, () => this.#readOn(error))
       return
--- a/src/router/Fleet.ts
+++ b/src/router/Fleet.ts
@@ -12,6 +12,7 @@
 import type { PeerSocket } from './PeerSocket.js'
 
 const TICK_MS = 50
+const HOMES_KNOWN = 3 // the home and those that take over from it
 
 /** What this node adds to its own digest. */
 export interface DigestParts {
@@ -34,7 +35,7 @@
   readonly #heard = this.own(new Emitter<InstanceDigest>())
   readonly #gone = this.own(new Emitter<string>())
   #list: PlatformList | undefined
-  #homes = new Map<string, string>()
+  #homes = new Map<string, readonly string[]>()
   #homesStale = true
 
   /** Fires when members or the list changed. */
@@ -102,8 +103,18 @@
 
   /** The instance that dispatches to an endpoint; undefined when none of its data centre lives. */
   homeOf (endpointId: string): string | undefined {
+    return this.#homesOf(endpointId)[0]
+  }
+
+  /** The home, or the instance that takes over from it when `avoided` did not answer. */
+  homeAvoiding (endpointId: string, avoided: ReadonlySet<string>): string | undefined {
+    const homes = this.#homesOf(endpointId)
+    return homes.find(id => !avoided.has(id)) ?? homes[0]
+  }
+
+  #homesOf (endpointId: string): readonly string[] {
     if (this.#homesStale) this.#rebuildHomes()
-    return this.#homes.get(endpointId)
+    return this.#homes.get(endpointId) ?? []
   }
 
   /** Rebuilds what depends on the file in force. */
@@ -158,7 +169,7 @@
 
   #rebuildHomes (): void {
     this.#homesStale = false
-    const homes = new Map<string, string>()
+    const homes = new Map<string, readonly string[]>()
     const byDataCentre = new Map<string, InstanceCandidate[]>()
     for (const endpoint of this.#parts.config()?.endpoints ?? []) {
       let instances = byDataCentre.get(endpoint.dataCentre)
@@ -166,8 +177,7 @@
         instances = this.usable(endpoint.dataCentre).map(id => ({ id, hash: hashString(id), weight: 1 }))
         byDataCentre.set(endpoint.dataCentre, instances)
       }
-      const home = rankTop(endpoint.hash, instances, 1)[0]
-      if (home !== undefined) homes.set(endpoint.id, home.id)
+      homes.set(endpoint.id, rankTop(endpoint.hash, instances, HOMES_KNOWN).map(i => i.id))
     }
     this.#homes = homes
   }
--- a/src/router/ServiceEntry.ts
+++ b/src/router/ServiceEntry.ts
@@ -89,7 +89,7 @@
     const now = clock.nowMs()
     const region = this.#parts.config()?.regionOf(fleet.self.dataCentre)
     const options = (this.#parts.config()?.workersOf(service) ?? []).flatMap(w => {
-      const home = fleet.homeOf(w.id)
+      const home = fleet.homeAvoiding(w.id, new Set(avoided))
       const work = endpoints.work(w.hash, now)
       if (home === undefined || avoided.includes(home) || work === UNAVAILABLE) return []
       return [{ home, cost: (work ?? 1) / w.weight + (w.region === region ? 0 : 1e6) }]
