Learn the engine that took a chat from its home, and end stalled streams

Ruled out: orphaned streams on engines, back pressure, the drain itself. Change: the home names its engine in its answer; an engine stand-in reads on under a known id in place of running it again. Leases are 3 s with pings each second, skew 1 s.

--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -7,9 +7,9 @@
 export const DEAD_PROBE_INTERVAL_MS = 2_000 // finds the other side again after a partition heals
 export const DIGEST_FRESH_MS = 5_000 // older load samples do not count towards the mean
 
-export const LEASE_PING_INTERVAL_MS = 1_500
-export const LEASE_MS = 5_000 // three lost pings lapse the lease
-export const CLOCK_SKEW_MS = 2_000 // bound on the difference of wall clocks between hosts and callers
+export const LEASE_PING_INTERVAL_MS = 1_000
+export const LEASE_MS = 3_000 // three lost pings lapse the lease
+export const CLOCK_SKEW_MS = 1_000 // bound on the difference of wall clocks between hosts and callers
 export const KEY_RETENTION_MS = 600_000 // a caller may retry a key this long
 
 export const ENDPOINT_LOAD_TIMEOUT_MS = 3_000 // an engine silent this long takes no new work
@@ -30,6 +30,7 @@
   chatId: 'x-chat-id',
   peerAuth: 'x-peer-auth',
   peerCall: 'x-peer-call',
+  endpoint: 'x-endpoint',
   idempotencyKey: 'idempotency-key',
   lastEventId: 'last-event-id',
   traceparent: 'traceparent',
--- a/src/common/once/Once.test.ts
+++ b/src/common/once/Once.test.ts
@@ -27,7 +27,7 @@
   const fresh = withList(initialLease('a'), ['c', 'a', 'b'], 0, TIMES)
 
   it('needs consent of all peers for a whole lease before it acts', () => {
-    expect(right(consented(fresh, 0, 3_000), 3_100).mayAct).toBe(false)
+    expect(right(consented(fresh, 0, 2_000), 2_100).mayAct).toBe(false)
     expect(right(consented(fresh, 0, 6_000), 6_100)).toEqual({ mayAct: true, vouchFrom: LEASE_MS })
     expect(right(consented(fresh, 0, 6_000, ['b']), 6_100).mayAct).toBe(false)
   })
@@ -52,7 +52,7 @@
   it('waits when it takes keys over from a dropped owner', () => {
     const held = consented(withList(initialLease('b'), ['a', 'b', 'c'], 0, TIMES), 0, 10_000)
     const taken = withList(held, ['b', 'c'], 11_000, TIMES)
-    expect(right(consented(taken, 11_000, 13_000), 13_100).mayAct).toBe(false)
+    expect(right(consented(taken, 11_000, 12_000), 12_100).mayAct).toBe(false)
     expect(right(consented(taken, 11_000, 17_000), 17_100)).toEqual({ mayAct: true, vouchFrom: 11_000 + LEASE_MS })
   })
 
@@ -66,7 +66,7 @@
 
   it('runs an unseen key only when no earlier owner can have run it', () => {
     const vouch = (mintedAt: number | undefined, now: number): boolean => canVouch({ mintedAt, now }, held, KEY_TIMES)
-    expect([vouch(14_001, 20_000), vouch(14_000, 20_000)]).toEqual([true, false])
+    expect([vouch(12_001, 20_000), vouch(12_000, 20_000)]).toEqual([true, false])
     expect([vouch(undefined, 20_000), vouch(undefined, 10_000 + KEY_RETENTION_MS)]).toEqual([false, true])
     expect([vouch(30_000, 20_000), vouch(15_000, 15_000 + KEY_RETENTION_MS)]).toEqual([false, false])
   })
--- a/src/router/PeerServer.ts
+++ b/src/router/PeerServer.ts
@@ -39,7 +39,7 @@
 
   onAccepted (endpoint: string): void {
     if (this.#res.headersSent) return
-    this.#res.writeHead(200, { 'content-type': 'text/event-stream', 'x-endpoint': endpoint })
+    this.#res.writeHead(200, { 'content-type': 'text/event-stream', [HEADER.endpoint]: endpoint })
     this.#res.flushHeaders()
   }
 
--- a/src/router/RemoteHome.ts
+++ b/src/router/RemoteHome.ts
@@ -62,13 +62,13 @@
   }
 
   #open (req: HttpRequest, endpoint: string, sink: IChatSink): IChatRun {
-    const reader = new HomeReader(this.#peers.links, this.#peer.id, endpoint, sink)
+    const reader = new HomeReader(this.#peers.links, this.#peer.id, sink)
     if (!this.#peers.links.passes(this.#peer.id)) {
       setImmediate(() => reader.failed(new Error('link is down'), false))
       return reader
     }
     reader.exchange = startExchange(this.#peers.agent, req, {
-      onHead: (status, headers) => reader.head(status, String(headers['content-type'] ?? '')),
+      onHead: (status, headers) => reader.head(status, String(headers['content-type'] ?? ''), String(headers[HEADER.endpoint] ?? endpoint)),
       onData: chunk => reader.data(chunk),
       onEnd: () => reader.ended(),
       onError: (e, sent) => reader.failed(e, sent)
@@ -81,7 +81,6 @@
 class HomeReader implements IChatRun {
   readonly #links: LinkFilter
   readonly #peer: string
-  readonly #endpoint: string
   readonly #sink: IChatSink
   readonly #framer = new SseFramer()
   exchange: HttpExchange | undefined
@@ -89,16 +88,16 @@
   #text = ''
   #over = false
 
-  constructor (links: LinkFilter, peer: string, endpoint: string, sink: IChatSink) {
+  constructor (links: LinkFilter, peer: string, sink: IChatSink) {
     this.#links = links
     this.#peer = peer
-    this.#endpoint = endpoint
     this.#sink = sink
   }
 
-  head (status: number, type: string): void {
+  /** @param endpoint the engine that the home chose, which may be another than the one asked for. */
+  head (status: number, type: string, endpoint: string): void {
     this.#streaming = status === 200 && type.startsWith('text/event-stream')
-    if (this.#streaming && !this.#over) this.#sink.onAccepted(this.#endpoint)
+    if (this.#streaming && !this.#over) this.#sink.onAccepted(endpoint)
   }
 
   data (chunk: Buffer): void {
--- a/src/router/Router.ts
+++ b/src/router/Router.ts
@@ -33,6 +33,7 @@
 import type { IHome } from './Types.js'
 
 const STOP_POLL_MS = 50
+const STOP_REPORT_MS = 2_000
 const SETTLE_MS = 600 // after the last request, so that answers on the way are out
 
 export class Router extends Disposable implements IPeerApiHost {
@@ -115,14 +116,25 @@
     this.#fleet.leave()
     await sleep(this.#settings.drainMs)
     this.#callers.close()
-    while (this.#callers.active + this.#peerServer.active > 0) await sleep(STOP_POLL_MS)
+    await this.#idle()
     await sleep(SETTLE_MS)
-    while (this.#callers.active + this.#peerServer.active > 0) await sleep(STOP_POLL_MS)
+    await this.#idle()
     this.dispose()
     await this.#platform.close()
     this.#log.info({ step: 'stop' }, 'stopped')
   }
 
+  /** Waits until no request is in flight. */
+  async #idle (): Promise<void> {
+    let reportedAt = this.#clock.nowMs()
+    while (this.#callers.active + this.#peerServer.active > 0) {
+      await sleep(STOP_POLL_MS)
+      if (this.#clock.nowMs() - reportedAt < STOP_REPORT_MS) continue
+      reportedAt = this.#clock.nowMs()
+      this.#log.info({ step: 'stop', callers: this.#callers.active, peers: this.#peerServer.active, streams: this.#home.active }, 'waiting for requests in flight')
+    }
+  }
+
   manifest (): ReturnType<ConfigTask['manifest']> {
     return this.#config.manifest()
   }
--- a/src/standin/EngineServer.ts
+++ b/src/standin/EngineServer.ts
@@ -35,7 +35,7 @@
 export interface EngineStats {
   readonly id: string
   readonly requests: number
-  /** Requests that were started under an id that had been started before. */
+  /** Requests that came again under a known id and read on in its answer. */
   readonly repeated: number
   readonly promptTokens: number
   readonly cachedTokens: number
@@ -136,7 +136,11 @@
       this.#direct(checked.value, res)
       return
     }
-    this.#start(id, checked.value, req).attach(res, Number(req.headers[HEADER.resumeFrom] ?? 0), performance.now())
+    // a request id that is known reads on in its answer: it is not run again
+    const known = this.#streams.get(id)
+    if (known !== undefined) this.#counts.repeated++
+    const stream = known ?? this.#start(id, checked.value, req)
+    stream.attach(res, Number(req.headers[HEADER.resumeFrom] ?? 0), performance.now())
   }
 
   /** Serves a call without a router, for overhead measurements. */
@@ -150,7 +154,6 @@
     const now = performance.now()
     const from = Number(req.headers[HEADER.resumeFrom] ?? 0)
     this.#counts.requests++
-    if (this.#streams.has(id)) this.#counts.repeated++
     if (this.#leftAt !== undefined && now - this.#leftAt > LEAVE_GRACE_MS) this.#counts.lateAfterLeave++
     const stream = new AnswerStream(id, from, now)
     this.#streams.set(id, stream)
