--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,7 @@
+export default {
+  paths: process.argv.some(a => a.endsWith('.feature')) ? [] : ['features/**/*.feature'],
+  import: ['dist/scenarios/**/*.js'],
+  format: ['progress', 'summary'],
+  parallel: 3,
+  forceExit: true
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Layers: common imports nothing outward; a target folder imports common and its own files. */
-const outward = ['enginemodel', 'router', 'ctl', 'load', 'standin', 'tools', 'experiment', 'bench', 'model']
+const outward = ['enginemodel', 'router', 'ctl', 'load', 'standin', 'tools', 'experiment', 'bench', 'model', 'scenarios']
 const allowed = {
   common: [],
   enginemodel: [],
@@ -10,6 +10,7 @@
   load: ['enginemodel'],
   ctl: ['router'],
   model: [],
+  scenarios: ['enginemodel', 'load', 'tools', 'standin', 'router'],
   tools: ['enginemodel', 'load', 'standin', 'router'],
   experiment: ['enginemodel', 'tools', 'load', 'router'],
   bench: ['enginemodel', 'tools', 'load', 'router']
--- a/src/common/placement/EndpointLoad.ts
+++ b/src/common/placement/EndpointLoad.ts
@@ -37,7 +37,7 @@
   #report: LoadReport | undefined
   #heardAt = -Infinity
   #closedUntil = -Infinity
-  #leaving = false
+  #listedLeaving = false
   #failures = 0
   readonly #byAccount = new Map<string, number>()
   readonly #items = new Set<WorkItem>()
@@ -52,7 +52,7 @@
   }
 
   get leaving (): boolean {
-    return this.#leaving
+    return this.#listedLeaving || (this.#report?.leaving ?? false)
   }
 
   /** Adds a request. */
@@ -85,13 +85,11 @@
     if (now - this.#heardAt > ENDPOINT_LOAD_TIMEOUT_MS && this.#report !== undefined) this.#closedUntil = now + ENDPOINT_READMIT_MS
     this.#report = report
     this.#heardAt = now
-    if (report.leaving) this.#leaving = true
-    else if (report.uptimeMs < ENDPOINT_READMIT_MS) this.#leaving = false
   }
 
-  /** Marks the endpoint as leaving, from the platform's list. */
-  markLeaving (leaving: boolean): void {
-    this.#leaving = leaving || (this.#report?.leaving ?? false)
+  /** Takes in what the platform's list says; the endpoint's own report counts as well. */
+  listed (leaving: boolean): void {
+    this.#listedLeaving = leaving
   }
 
   /** Closes the endpoint after a failure; each further failure in a row doubles the time. */
@@ -111,7 +109,7 @@
 
   /** True when new work may be sent. */
   open (now: number): boolean {
-    return !this.#leaving && now >= this.#closedUntil && now - this.#heardAt <= ENDPOINT_LOAD_TIMEOUT_MS
+    return !this.leaving && now >= this.#closedUntil && now - this.#heardAt <= ENDPOINT_LOAD_TIMEOUT_MS
   }
 
   /** Outstanding work from all nodes in decode tokens; UNAVAILABLE when closed. */
--- a/src/load/ChatCaller.ts
+++ b/src/load/ChatCaller.ts
@@ -9,7 +9,7 @@
 
 const MAX_RESUMES = 8
 const RESUME_DELAY_MS = 200
-const REQUEST_TIMEOUT_MS = 60_000
+const STALL_MS = 8_000 // a caller that hears nothing this long reads on through another entry
 
 interface Progress {
   requestId: string
@@ -86,8 +86,8 @@
         method,
         headers: { authorization: `Bearer ${this.#key}`, 'content-type': 'application/json', ...headers },
         body: body ?? null,
-        headersTimeout: REQUEST_TIMEOUT_MS,
-        bodyTimeout: REQUEST_TIMEOUT_MS
+        headersTimeout: STALL_MS,
+        bodyTimeout: STALL_MS
       }, {
         onRequestStart: () => { sent = true },
         onResponseStart: (_c, code, head) => {
--- a/src/router/Endpoints.ts
+++ b/src/router/Endpoints.ts
@@ -64,7 +64,7 @@
     for (const endpoint of config?.endpoints ?? []) {
       if (this.#fleet.homeOf(endpoint.id) === this.#fleet.self.id) this.#hold(endpoint).usedAt = this.#clock.nowMs()
       const held = this.#held.get(endpoint.id)
-      if (held !== undefined && states.has(endpoint.id)) held.load.markLeaving(states.get(endpoint.id) === 'leaving')
+      if (held !== undefined && states.has(endpoint.id)) held.load.listed(states.get(endpoint.id) === 'leaving')
     }
     for (const id of [...this.#held.keys()]) {
       const endpoint = config?.endpoint(id)
--- a/src/router/Orders.ts
+++ b/src/router/Orders.ts
@@ -38,7 +38,6 @@
     })
     const text = await res.body.text()
     if (res.statusCode !== 200) return `refused by ${endpointId}: ${text.slice(0, 200)}`
-    load.markLeaving(!undo)
     return `${undo ? 'undrain' : 'drain'} taken by ${endpointId}, fencing number ${fencing}`
   }
 }
--- a/src/router/ServiceEntry.ts
+++ b/src/router/ServiceEntry.ts
@@ -71,13 +71,16 @@
   async #callPlain (call: ServiceCallMessage, body: Uint8Array): Promise<Result<ServiceAnswer, RouteError>> {
     const deadline = this.#parts.clock.nowMs() + call.timeoutMs
     const avoided: string[] = []
+    let worst: RouteError | undefined
     for (let retries = 0; ; retries++) {
       const timeoutMs = deadline - this.#parts.clock.nowMs()
       if (timeoutMs <= 0) return err(routeError('deadline_passed', 'forward', call.service))
       const node = this.#pickNode(call.service, avoided)
-      if (node === undefined) return err(routeError('no_endpoint', 'place', call.service, 'no usable worker', 1_000))
+      if (node === undefined) return err(worst ?? routeError('no_endpoint', 'place', call.service, 'no usable worker', 1_000))
       const result = await this.#forward(node, { ...call, timeoutMs }, body)
-      if (result.isOk() || !mayRepeat(result.error, call) || retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) return result
+      if (result.isOk() || !mayRepeat(result.error, call)) return result
+      worst = worse(worst, result.error)
+      if (retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) return err(worst)
       this.#parts.metrics.retries.inc({ cause: result.error.code })
       avoided.push(node)
     }
@@ -146,6 +149,12 @@
   }
 }
 
+/** The error that says least of the call's outcome; of two alike the first, as later ones often follow from it. */
+function worse (a: RouteError | undefined, b: RouteError): RouteError {
+  if (a === undefined) return b
+  return outcomeOf(a) === 'not-run' && outcomeOf(b) !== 'not-run' ? b : a
+}
+
 function mayRepeat (error: RouteError, call: ServiceCallMessage): boolean {
   if (error.code === 'overloaded' || error.code === 'deadline_passed') return false
   return outcomeOf(error) === 'not-run' || !call.neverRepeat
