Measure the policies on one trace, and control traffic on real processes

Cause: no measurement favoured the design over its alternatives. The home's decisions moved into HomePlacement, so that the router and the experiments run the same code.

--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -7,7 +7,7 @@
 import { checkFileText } from '../common/config/FileChecks.js'
 import type { VotedFile } from '../common/generated/VotedFile.js'
 import { FleetClient, type FleetRow } from './FleetClient.js'
-import { formatTable } from './Table.js'
+import { formatTable } from '../common/Table.js'
 
 const EXIT_NO = 1
 const EXIT_USAGE = 2
--- a/src/enginemodel/PrefixCache.ts
+++ b/src/enginemodel/PrefixCache.ts
@@ -20,6 +20,16 @@
     return this.#tokens
   }
 
+  /** Tokens of the longest held prefix, without marking it as used. */
+  peek (prompt: readonly PromptPiece[]): number {
+    let cached = 0
+    for (const piece of prompt) {
+      if (!this.#pieces.has(piece.hash)) break
+      cached += piece.tokens
+    }
+    return cached
+  }
+
   /** Tokens of the longest held prefix; marks its pieces as used. */
   lookUp (prompt: readonly PromptPiece[]): number {
     let cached = 0
--- /dev/null
+++ b/src/experiment/Fit.ts
@@ -0,0 +1,24 @@
+/** Straight line through measured points by least squares. */
+export interface Line {
+  readonly base: number
+  readonly slope: number
+  /** Part of the variance that the line explains. */
+  readonly r2: number
+}
+
+export function fitLine (xs: readonly number[], ys: readonly number[]): Line {
+  const mean = (v: readonly number[]): number => v.reduce((a, b) => a + b, 0) / v.length
+  const [mx, my] = [mean(xs), mean(ys)]
+  const sxx = xs.reduce((sum, x) => sum + (x - mx) ** 2, 0)
+  const sxy = xs.reduce((sum, x, i) => sum + (x - mx) * (ys[i]! - my), 0)
+  const slope = sxx === 0 ? 0 : sxy / sxx
+  const base = my - slope * mx
+  const total = ys.reduce((sum, y) => sum + (y - my) ** 2, 0)
+  const rest = ys.reduce((sum, y, i) => sum + (y - base - slope * xs[i]!) ** 2, 0)
+  return { base, slope, r2: total === 0 ? 1 : 1 - rest / total }
+}
+
+/** Value of the line at `x`, never below zero. */
+export function lineAt (line: Line, x: number): number {
+  return Math.max(0, line.base + line.slope * x)
+}
--- /dev/null
+++ b/src/experiment/ProcessExperiments.ts
@@ -0,0 +1,165 @@
+/** Process measurements: control traffic, processor time and memory of real routers at several sizes; time until a file is in force. */
+import { formatTable } from '../common/Table.js'
+import type { VotedFile } from '../common/generated/VotedFile.js'
+import { Site, sleep } from '../tools/Site.js'
+import { cuscoSpec, votedFile } from '../tools/SiteSpec.js'
+import { fitLine, lineAt, type Line } from './Fit.js'
+
+const BASE_PORT = 24_000
+const SIZES = [4, 8, 13, 20, 40] as const
+const SETTLE_MS = 6_000
+const MEASURE_SEC = 10
+const CHANGES = 3
+const PLAN_NODES = 360
+const PLAN_CHANGES_PER_SEC = 12_000 / 86_400
+const PLAN_ACCOUNTS = 16_000
+
+/** One size measured. */
+export interface ControlPoint {
+  readonly nodes: number
+  readonly bytesPerSecPerNode: number
+  readonly bytesPerChange: number
+  readonly cpuPct: number
+  readonly controlMb: number
+  readonly platformReadsPerSec: number
+}
+
+/** Measured points with their fits, and what they come to at the planned size. */
+export interface ControlResult {
+  readonly points: readonly ControlPoint[]
+  readonly bytes: Line
+  readonly change: Line
+  readonly cpu: Line
+  readonly memory: Line
+  readonly reads: Line
+}
+
+/** A file of the planned number of accounts, so that changes cost what they will cost. */
+function plannedFile (site: Site, rate: number): VotedFile {
+  const file = votedFile(site.spec, rate)
+  const filler = Array.from({ length: PLAN_ACCOUNTS - file.accounts.length }, (_, i) => ({ id: `a${i}`, tier: 'tiny', keys: [i.toString(36).padStart(16, '_')] }))
+  return { ...file, tiers: [...file.tiers, { id: 'tiny', requestsPerSec: rate, sharePercent: 0, priority: 3 }], accounts: [...file.accounts, ...filler] }
+}
+
+interface Counters {
+  readonly bytes: number
+  readonly cpuSec: number
+  readonly reads: number
+}
+
+async function countersOf (site: Site): Promise<Counters> {
+  const statuses = await site.statuses()
+  return {
+    bytes: statuses.reduce((sum, s) => sum + s.controlBytes.sent + s.controlBytes.received, 0),
+    cpuSec: site.names.routers.reduce((sum, r) => sum + site.cpuSeconds(r.id), 0),
+    reads: (await site.platformFault({})).reads
+  }
+}
+
+async function measureSize (nodes: number): Promise<ControlPoint> {
+  const engines = Math.max(3, Math.round(nodes * 0.5))
+  const site = new Site({ ...cuscoSpec(BASE_PORT), routers: nodes, engines, workers: 3 })
+  try {
+    await site.start()
+    await site.untilInForce(await site.publish(plannedFile(site, 10)), 30_000)
+    await sleep(SETTLE_MS)
+    const before = await countersOf(site)
+    await sleep(MEASURE_SEC * 1000)
+    const after = await countersOf(site)
+    const asked = (await countersOf(site)).bytes - after.bytes // what the reading of the counters itself costs
+    const quiet = after.bytes - before.bytes - asked
+    for (let i = 0; i < CHANGES; i++) await site.untilInForce(await site.publish(plannedFile(site, 11 + i)), 30_000)
+    await sleep(1_000)
+    const changed = await countersOf(site)
+    const statuses = await site.statuses()
+    return {
+      nodes,
+      bytesPerSecPerNode: Math.round(quiet / MEASURE_SEC / nodes),
+      bytesPerChange: Math.round((changed.bytes - after.bytes) / CHANGES / nodes),
+      cpuPct: Number(((after.cpuSec - before.cpuSec) / MEASURE_SEC / nodes * 100).toFixed(2)),
+      controlMb: Number((statuses.reduce((sum, s) => sum + s.controlMemoryBytes, 0) / nodes / 1e6).toFixed(2)),
+      platformReadsPerSec: Number(((after.reads - before.reads) / MEASURE_SEC).toFixed(2))
+    }
+  } finally {
+    await site.stop()
+  }
+}
+
+/** Measures all sizes and fits the slopes. */
+export async function measureControl (log: (text: string) => void): Promise<ControlResult> {
+  const points: ControlPoint[] = []
+  for (const nodes of SIZES) {
+    points.push(await measureSize(nodes))
+    log(`measured ${nodes} nodes`)
+  }
+  const xs = points.map(p => p.nodes)
+  return {
+    points,
+    bytes: fitLine(xs, points.map(p => p.bytesPerSecPerNode)),
+    change: fitLine(xs, points.map(p => p.bytesPerChange)),
+    cpu: fitLine(xs, points.map(p => p.cpuPct)),
+    memory: fitLine(xs, points.map(p => p.controlMb)),
+    reads: fitLine(xs, points.map(p => p.platformReadsPerSec))
+  }
+}
+
+/** What the fits come to at a number of nodes, file changes included. */
+export function projectControl (result: ControlResult, nodes: number, changesPerSec = PLAN_CHANGES_PER_SEC): Omit<ControlPoint, 'nodes' | 'bytesPerChange'> {
+  return {
+    bytesPerSecPerNode: Math.round(lineAt(result.bytes, nodes) + lineAt(result.change, nodes) * changesPerSec),
+    cpuPct: Number(lineAt(result.cpu, nodes).toFixed(2)),
+    controlMb: Number(lineAt(result.memory, nodes).toFixed(2)),
+    platformReadsPerSec: Number(lineAt(result.reads, nodes).toFixed(1))
+  }
+}
+
+export async function runControl (jsonOnly: boolean): Promise<void> {
+  const result = await measureControl(text => { if (!jsonOnly) console.log(text) })
+  const at360 = projectControl(result, PLAN_NODES)
+  if (!jsonOnly) {
+    const rows = result.points.map(p => [p.nodes, p.bytesPerSecPerNode, p.bytesPerChange, p.cpuPct, p.controlMb, p.platformReadsPerSec])
+    console.log(formatTable(['NODES', 'BYTES/S/NODE', 'BYTES/CHANGE/NODE', 'CPU %', 'CONTROL MB', 'PLATFORM READS/S'], rows))
+    const missed = [
+      ...result.points.filter(p => p.nodes >= 13 && p.nodes <= 20 && p.bytesPerSecPerNode > 4_000).map(p => `${p.bytesPerSecPerNode} bytes/s at ${p.nodes} nodes, target 4000`),
+      ...(at360.bytesPerSecPerNode > 18_000 ? [`${at360.bytesPerSecPerNode} bytes/s at 360 nodes, target 18000`] : []),
+      ...(at360.cpuPct > 1.5 ? [`${at360.cpuPct}% of a core at 360 nodes, target 1.5%`] : []),
+      ...(at360.controlMb > 32 ? [`${at360.controlMb} MB at 360 nodes, target 32`] : [])
+    ]
+    console.log(missed.length === 0 ? 'all targets met' : `MISSED: ${missed.join('; ')}`)
+  }
+  const column = (pick: (p: ControlPoint) => number): number[] => result.points.map(pick)
+  const { bytesPerSecPerNode, cpuPct, controlMb } = at360
+  console.log(JSON.stringify({
+    nodes: column(p => p.nodes),
+    bytesPerSecPerNode: column(p => p.bytesPerSecPerNode),
+    cpuPct: column(p => p.cpuPct),
+    controlMb: column(p => p.controlMb),
+    at360: { bytesPerSecPerNode, cpuPct, controlMb }
+  }))
+}
+
+/** Time until a file is in force everywhere while 5% of the nodes restart. */
+export async function runConfig (jsonOnly: boolean): Promise<void> {
+  const site = new Site({ ...cuscoSpec(BASE_PORT), routers: 20 })
+  const times: number[] = []
+  try {
+    await site.start()
+    await site.untilInForce(await site.publish(plannedFile(site, 20)), 30_000)
+    for (let i = 0; i < 5; i++) {
+      const id = site.names.routers[(i * 7) % 20]!.id
+      site.signal(id, 'SIGKILL')
+      await site.exited(id)
+      const digest = await site.publish(plannedFile(site, 21 + i))
+      const started = performance.now()
+      site.startRouter(id)
+      await site.untilInForce(digest, 20_000)
+      times.push(Math.round(performance.now() - started))
+      await site.untilReady(id)
+      await sleep(1_000)
+    }
+  } finally {
+    await site.stop()
+  }
+  if (!jsonOnly) console.log(`20 nodes, one restarting at each change, ${PLAN_ACCOUNTS} accounts: in force everywhere after ${times.join(', ')} ms; target 4000 ms`)
+  console.log(JSON.stringify({ nodes: 20, restarting: 1, inForceMs: times, worstMs: Math.max(...times) }))
+}
--- /dev/null
+++ b/src/experiment/Trace.ts
@@ -0,0 +1,158 @@
+/** Seeded trace of returning chats: Zipf accounts, growing prompts, long and short pauses, bulk beside counter chat, a surge. */
+import { readFileSync } from 'node:fs'
+import { combine, hashString } from '../common/Hash.js'
+import type { ChatPlacement } from '../common/placement/ChatKey.js'
+import { SeededRandom } from '../common/SeededRandom.js'
+import type { PromptPiece } from '../enginemodel/PrefixCache.js'
+
+/** Parameters, from experiments/trace.json. */
+export interface TraceParameters {
+  readonly engines: number
+  readonly slots: number
+  readonly decodeTokensPerSec: number
+  readonly prefillTokensPerSec: number
+  readonly cacheTokens: number
+  readonly requestsPerSec: number
+  readonly chats: number
+  readonly accounts: number
+  readonly accountZipf: number
+  readonly openingTokens: number
+  readonly turnTokens: number
+  readonly answerTokens: number
+  readonly bulkPart: number
+  readonly bulkPromptTokens: number
+  readonly bulkAnswerTokens: number
+  readonly longPausePart: number
+  readonly maxTurns: number
+  readonly routers: number
+  readonly gossipMs: number
+  readonly loadLagMs: number
+  readonly eventLagMs: number
+  readonly eventGap: number
+  /** Time for which routers disagree about which engines there are. */
+  readonly disagreeMs: number
+  readonly seconds: number
+  readonly warmupSeconds: number
+  readonly loadBound: number
+  readonly reuseWeight: number
+}
+
+/** One request of the trace. */
+export interface TraceRequest {
+  readonly at: number
+  readonly account: number
+  readonly placement: ChatPlacement
+  readonly prompt: readonly PromptPiece[]
+  /** What the answer adds to the prompt. */
+  readonly answer: PromptPiece
+  readonly priority: number
+}
+
+/** One account's traffic multiplied for a while. */
+export interface Surge {
+  readonly account: number
+  readonly factor: number
+  readonly fromMs: number
+  readonly toMs: number
+}
+
+interface Chat {
+  readonly key: string
+  readonly account: number
+  readonly bulk: boolean
+  prompt: PromptPiece[]
+  turns: number
+  busyUntil: number
+}
+
+/** Reads the parameters. */
+export function readParameters (): TraceParameters {
+  return JSON.parse(readFileSync(new URL('../../experiments/trace.json', import.meta.url), 'utf8')) as TraceParameters
+}
+
+export class Trace {
+  readonly #p: TraceParameters
+  readonly #random: SeededRandom
+  readonly #chats: Chat[] = []
+  readonly #recent: Chat[] = []
+  readonly #accountCdf: number[] = []
+  #created = 0
+
+  constructor (p: TraceParameters, seed: number) {
+    this.#p = p
+    this.#random = new SeededRandom(seed)
+    let sum = 0
+    for (let i = 0; i < p.accounts; i++) this.#accountCdf.push(sum += 1 / (i + 1) ** p.accountZipf)
+    for (let i = 0; i < p.chats; i++) this.#chats.push(this.#newChat(this.#account()))
+  }
+
+  /** All requests in order of time. */
+  * requests (surge?: Surge): Generator<TraceRequest> {
+    const share = surge === undefined ? 0 : this.#shareOf(surge.account)
+    let now = 0
+    while (now < this.#p.seconds * 1000) {
+      const surging = surge !== undefined && now >= surge.fromMs && now < surge.toMs
+      const rate = this.#p.requestsPerSec * (surging ? 1 + share * (surge.factor - 1) : 1)
+      now += this.#random.exponential(1000 / rate)
+      const extra = surging && this.#random.next() < share * (surge.factor - 1) / (1 + share * (surge.factor - 1))
+      const chat = extra ? this.#newChat(surge.account) : this.#pick(now)
+      if (chat !== undefined) yield this.#turn(chat, now)
+    }
+  }
+
+  #shareOf (account: number): number {
+    const below = account === 0 ? 0 : this.#accountCdf[account - 1]!
+    return (this.#accountCdf[account]! - below) / this.#accountCdf.at(-1)!
+  }
+
+  #account (): number {
+    const at = this.#random.next() * this.#accountCdf.at(-1)!
+    return this.#accountCdf.findIndex(c => c >= at)
+  }
+
+  #newChat (account: number): Chat {
+    return { key: `chat-${this.#created++}`, account, bulk: this.#random.next() < this.#p.bulkPart, prompt: [], turns: 0, busyUntil: 0 }
+  }
+
+  /** Most requests come from chats that were active lately; the others from any. */
+  #pick (now: number): Chat | undefined {
+    for (let tries = 0; tries < 8; tries++) {
+      const recent = this.#recent.length > 0 && this.#random.next() > this.#p.longPausePart
+      const index = recent ? this.#random.below(this.#recent.length) : this.#random.below(this.#chats.length)
+      const chat = recent ? this.#recent[index]! : this.#chats[index]!
+      if (chat.busyUntil > now) continue
+      if (chat.turns < this.#p.maxTurns) return chat
+      if (recent) this.#recent[index] = this.#chats[this.#random.below(this.#chats.length)]!
+      else this.#chats[index] = this.#newChat(this.#account())
+    }
+    return undefined
+  }
+
+  #turn (chat: Chat, now: number): TraceRequest {
+    const p = this.#p
+    const first = chat.turns === 0
+    const asked = first ? (chat.bulk ? p.bulkPromptTokens : Math.ceil(this.#random.exponential(p.openingTokens))) : p.turnTokens
+    const answerTokens = Math.max(8, Math.ceil(this.#random.exponential(chat.bulk ? p.bulkAnswerTokens : p.answerTokens)))
+    const before = chat.prompt.at(-1)?.hash ?? hashString(chat.key)
+    const prompt = [...chat.prompt, { hash: combine(before, chat.turns * 2 + 1), tokens: asked + 1 }]
+    const answer = { hash: combine(prompt.at(-1)!.hash, 7), tokens: answerTokens }
+    chat.prompt = [...prompt, answer]
+    chat.turns++
+    chat.busyUntil = now + answerTokens / p.decodeTokensPerSec * 1000 * 1.5 + 2_000
+    if (first && this.#recent.length < p.chats / 4) this.#recent.push(chat)
+    return {
+      at: now,
+      account: chat.account,
+      placement: {
+        keyHash: hashString(chat.key),
+        tag: hashString(chat.key, 9),
+        promptTokens: prompt.reduce((sum, piece) => sum + piece.tokens, 0),
+        answerTokens,
+        returning: !first
+      },
+      prompt,
+      answer,
+      priority: chat.bulk ? 2 : 6
+    }
+  }
+}
--- a/src/router/LocalHome.ts
+++ b/src/router/LocalHome.ts
@@ -7,11 +7,12 @@
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError } from '../common/Errors.js'
 import { shouldShed } from '../common/limits/Shedding.js'
-import { ChatDirectory, type ChatEntry } from '../common/placement/ChatDirectory.js'
+import type { ChatEntry } from '../common/placement/ChatDirectory.js'
 import type { ChatPlacement } from '../common/placement/ChatKey.js'
 import type { EndpointLoad } from '../common/placement/EndpointLoad.js'
+import { HomePlacement } from '../common/placement/HomePlacement.js'
 import { UNAVAILABLE } from '../common/placement/LoadView.js'
-import { PlacementPolicy, RANKED_ENGINES, requestWork, type PlacementDecision } from '../common/placement/PlacementPolicy.js'
+import { RANKED_ENGINES, requestWork, type PlacementDecision } from '../common/placement/PlacementPolicy.js'
 import { rankTop } from '../common/Rendezvous.js'
 import type { IClock } from '../common/Services.js'
 import { EngineStream } from './EngineClient.js'
@@ -52,7 +53,7 @@
 
 export class LocalHome extends Disposable implements IHome {
   readonly #parts: HomeParts
-  readonly #directory = new ChatDirectory(DIRECTORY_CHATS)
+  readonly #placement = new HomePlacement(DIRECTORY_CHATS)
   readonly #agent = new Agent({ connections: null, pipelining: 1 })
   readonly #streams = new Map<string, Set<EngineStream>>()
 
@@ -66,12 +67,12 @@
 
   /** Bytes held for remembering chats. */
   get directoryBytes (): number {
-    return this.#directory.bytes
+    return this.#placement.bytes
   }
 
   /** Chats remembered. */
   get chats (): number {
-    return this.#directory.size
+    return this.#placement.chats
   }
 
   /** Streams in progress. */
@@ -83,7 +84,7 @@
 
   /** Where the prefix of a chat was last placed. */
   where (keyHash: number, tag: number): ChatEntry | undefined {
-    return this.#directory.get(keyHash, tag)
+    return this.#placement.where(keyHash, tag)
   }
 
   chat (call: ChatCall, body: Uint8Array, sink: IChatSink): IChatRun {
@@ -126,9 +127,7 @@
     const ranked = rankEngines(this.#parts, config, model, placement.keyHash, excluded)
     const regions = new Set(ranked.map(e => e.region))
     const all = config.enginesOf(model).filter(e => regions.has(e.region) && !excluded.includes(e.id) && fleet.homeOf(e.id) !== undefined)
-    const held = this.#directory.get(placement.keyHash, placement.tag)
-    const policy = new PlacementPolicy(config)
-    return policy.choose(placement, { ranked, all, held, warming: this.#warming(ranked[0]) }, endpoints, now)
+    return this.#placement.decide(placement, { limits: config, ranked, all, warming: this.#warming(ranked[0]) }, endpoints, now)
   }
 
   async #place (call: ChatCall, body: Uint8Array, sink: IChatSink, run: Run): Promise<void> {
@@ -147,8 +146,7 @@
         return
       }
       this.#parts.metrics.placements.inc({ reason: decision.reason })
-      const { keyHash, tag, promptTokens, answerTokens } = call.placement
-      this.#directory.set(keyHash, tag, decision.engine.hash, promptTokens + answerTokens)
+      this.#placement.placed(call.placement, decision.engine.hash)
       if (this.#parts.fleet.homeOf(decision.engine.id) !== this.#parts.fleet.self.id) {
         sink.onReply({ kind: 'redirect', endpoint: decision.engine.id, reason: decision.reason })
         return
@@ -157,13 +155,13 @@
       cachedTokens = decision.cachedTokens
     }
     const load = await this.#parts.endpoints.load(endpoint)
-    const refusal = this.#refusal(call, endpoint, load, config, cachedTokens)
+    const refusal = this.#refusal(call, endpoint, load, config)
     if (refusal !== undefined) sink.onReply(refusal)
     else this.#run(call, body, endpoint, load, cachedTokens, sink, run)
   }
 
   /** Checks with exact counts; undefined when the engine takes the chat. */
-  #refusal (call: ChatCall, endpoint: EndpointInfo, load: EndpointLoad, config: VotedConfig, cached: number): HomeReply | undefined {
+  #refusal (call: ChatCall, endpoint: EndpointInfo, load: EndpointLoad, config: VotedConfig): HomeReply | undefined {
     const now = this.#parts.clock.nowMs()
     if (!load.open(now)) return { kind: 'declined', endpoint: endpoint.id, load: UNAVAILABLE }
     const report = load.report
@@ -172,11 +170,7 @@
     }
     if (call.force || call.mayRedirect) return undefined
     const all = config.enginesOf(call.model).filter(e => e.region === endpoint.region)
-    const mean = this.#parts.endpoints.meanPerWeight(all, now)
-    const weight = all.reduce((sum, e) => sum + e.weight, 0)
-    const added = requestWork(call.placement, cached)
-    const policy = new PlacementPolicy(config)
-    if (policy.fits(load.work(now), added, endpoint.weight, mean, weight, true)) return undefined
+    if (this.#placement.takes(call.placement, endpoint, { limits: config, all }, this.#parts.endpoints, now)) return undefined
     return { kind: 'declined', endpoint: endpoint.id, load: load.work(now) / endpoint.weight }
   }
 
@@ -232,7 +226,7 @@
     for (const key of eviction.keys) {
       const [keyHash, tag] = key.split('.').map(part => parseInt(part, 36))
       if (keyHash === undefined || tag === undefined) continue
-      if (this.#directory.get(keyHash, tag)?.endpoint === eviction.endpoint.hash) this.#directory.delete(keyHash, tag)
+      this.#placement.evicted(keyHash, tag, eviction.endpoint.hash)
     }
   }
 }
--- a/src/tools/Site.ts
+++ b/src/tools/Site.ts
@@ -1,7 +1,7 @@
 /** Starts a site of separate processes on loopback, and breaks them on request. A development tool: routers start no process. */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createHash } from 'node:crypto'
-import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -16,6 +16,7 @@
 const PEER_SECRET = 'development-peer-secret'
 const START_TIMEOUT_MS = 20_000
 const POLL_MS = 50
+const CLOCK_TICKS_PER_SEC = 100
 
 /** A process of the site. */
 interface Proc {
@@ -96,6 +97,13 @@
     this.#procs.get(id)?.child.kill(signal)
   }
 
+  /** Processor time of a process since its start. */
+  cpuSeconds (id: string): number {
+    const stat = readFileSync(`/proc/${this.#procs.get(id)!.child.pid}/stat`, 'utf8')
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+    return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SEC
+  }
+
   /** Waits for a process to exit; gives its exit code. */
   async exited (id: string): Promise<number | null> {
     return await (this.#procs.get(id)?.exited ?? Promise.resolve(null))
