--- /dev/null
+++ b/src/bench/DecisionBench.ts
@@ -0,0 +1,45 @@
+/** Time of one routing decision and memory of one remembered chat, at the planned size of a node. */
+import { hashString } from '../common/Hash.js'
+import { ChatDirectory } from '../common/placement/ChatDirectory.js'
+import type { ChatPlacement } from '../common/placement/ChatKey.js'
+import { HomePlacement } from '../common/placement/HomePlacement.js'
+import { LoadView } from '../common/placement/LoadView.js'
+import { RANKED_ENGINES } from '../common/placement/PlacementPolicy.js'
+import { rankTop } from '../common/Rendezvous.js'
+import { quantile } from './Percentiles.js'
+
+const ENGINES = 400
+const CHATS = 7_000
+const ROUNDS = 50_000
+const WARM_UP = 10_000
+
+export interface DecisionResult {
+  readonly engines: number
+  readonly chats: number
+  readonly p50Us: number
+  readonly p99Us: number
+  readonly bytesPerChat: number
+}
+
+export function benchDecision (): DecisionResult {
+  const engines = Array.from({ length: ENGINES }, (_, i) => ({ hash: hashString(`engine-${i}`), weight: 1 }))
+  const view = new LoadView()
+  engines.forEach((e, i) => view.record(e.hash, 900 + (i * 37) % 200, 0))
+  const placement = new HomePlacement(CHATS)
+  const limits = { loadBound: 1.25, reuseWeight: 0.5 }
+  const times: number[] = []
+  for (let i = 0; i < ROUNDS; i++) {
+    const chat: ChatPlacement = { keyHash: hashString(`chat-${i % CHATS}`), tag: i % CHATS, promptTokens: 800, answerTokens: 300, returning: true }
+    const started = process.hrtime.bigint()
+    const ranked = rankTop(chat.keyHash, engines, RANKED_ENGINES)
+    const decision = placement.decide(chat, { limits, ranked, all: engines, warming: false }, view, 0)
+    if (decision !== undefined) placement.placed(chat, decision.engine.hash)
+    if (i >= WARM_UP) times.push(Number(process.hrtime.bigint() - started) / 1000)
+  }
+  const directory = new ChatDirectory(CHATS)
+  return { engines: ENGINES, chats: CHATS, p50Us: round(quantile(times, 0.5)), p99Us: round(quantile(times, 0.99)), bytesPerChat: round(directory.bytes / CHATS) }
+}
+
+function round (value: number): number {
+  return Number(value.toFixed(1))
+}
--- /dev/null
+++ b/src/bench/PathBench.ts
@@ -0,0 +1,126 @@
+/** Added time of the whole path against calling the engine directly, and what one router process carries. */
+import { Agent } from 'undici'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { Balancer } from '../load/Balancer.js'
+import { ChatCaller } from '../load/ChatCaller.js'
+import { Site, sleep } from '../tools/Site.js'
+import { cuscoSpec, keyOf, type SiteSpec } from '../tools/SiteSpec.js'
+import { quantile } from './Percentiles.js'
+
+const BASE_PORT = 28_000
+const OVERHEAD_RATE = 200
+const OVERHEAD_SEC = 10
+
+/** Fast engines, so that the path and not the engine is measured. */
+function benchSpec (routers: number, engines: number): SiteSpec {
+  const engine = { slots: 4_096, prefillTokensPerSec: 1e9, decodeTokensPerSec: 100, cacheTokens: 1e6 }
+  return { ...cuscoSpec(BASE_PORT), dataCentres: ['dc-a'], routers, engines, workers: 1, engine, loadBound: 4 }
+}
+
+interface DriveResult {
+  readonly firstMs: number[]
+  readonly failed: number
+}
+
+/** Drives an open loop of chats; returns the times to the first token. */
+async function drive (balancer: Balancer, agent: Agent, ratePerSec: number, seconds: number, tokens: number): Promise<DriveResult> {
+  const caller = new ChatCaller(agent, balancer, keyOf('looms'))
+  const firstMs: number[] = []
+  let failed = 0
+  const running: Array<Promise<void>> = []
+  const started = performance.now()
+  for (let i = 0; i < ratePerSec * seconds; i++) {
+    const wait = started + i * 1000 / ratePerSec - performance.now()
+    if (wait > 0) await sleep(wait)
+    running.push(caller.chat('looms', { model: 'assistant', messages: [{ role: 'user', content: `bench ${i}` }], max_tokens: tokens, user: `${i}` }).then(r => {
+      if (r.correct) firstMs.push(r.firstTokenMs)
+      else failed++
+    }))
+  }
+  await Promise.all(running)
+  return { firstMs, failed }
+}
+
+export interface OverheadResult {
+  readonly ratePerSec: number
+  readonly directP50Ms: number
+  readonly directP99Ms: number
+  readonly addedP50Ms: number
+  readonly addedP99Ms: number
+  readonly failed: number
+}
+
+/** Two routers, so that most chats take both hops; the same load straight to an engine in the same run. */
+export async function benchOverhead (): Promise<OverheadResult> {
+  const site = new Site(benchSpec(4, 4))
+  const agent = new Agent({ connections: null, pipelining: 1 })
+  try {
+    await site.start()
+    await sleep(2_000)
+    const routers = new Balancer(site.entries, new SeededRandom(1), agent)
+    const engines = new Balancer(site.names.engines.map(e => `http://127.0.0.1:${e.port}`), new SeededRandom(1), agent)
+    await routers.check()
+    await drive(routers, agent, OVERHEAD_RATE, 3, 2)
+    const direct = await drive(engines, agent, OVERHEAD_RATE, OVERHEAD_SEC, 2)
+    const routed = await drive(routers, agent, OVERHEAD_RATE, OVERHEAD_SEC, 2)
+    routers.dispose()
+    engines.dispose()
+    const added = (q: number): number => round(quantile(routed.firstMs, q) - quantile(direct.firstMs, q))
+    return {
+      ratePerSec: OVERHEAD_RATE,
+      directP50Ms: round(quantile(direct.firstMs, 0.5)),
+      directP99Ms: round(quantile(direct.firstMs, 0.99)),
+      addedP50Ms: added(0.5),
+      addedP99Ms: added(0.99),
+      failed: direct.failed + routed.failed
+    }
+  } finally {
+    await site.stop()
+    await agent.destroy()
+  }
+}
+
+export interface CapacityResult {
+  readonly requestsPerSec: number
+  readonly tokensPerSec: number
+  readonly cpuPct: number
+  /** What one core would carry at this cost. */
+  readonly requestsPerSecPerCore: number
+  readonly tokensPerSecPerCore: number
+  readonly failed: number
+}
+
+/** One router that is entry and home of all engines. */
+export async function benchCapacity (ratePerSec: number, tokens: number, seconds: number): Promise<CapacityResult> {
+  const site = new Site(benchSpec(1, 4))
+  const agent = new Agent({ connections: null, pipelining: 1 })
+  try {
+    await site.start()
+    await sleep(2_000)
+    const balancer = new Balancer(site.entries, new SeededRandom(1), agent)
+    await balancer.check()
+    await drive(balancer, agent, ratePerSec / 4, 2, tokens)
+    const cpuBefore = site.cpuSeconds('r1')
+    const started = performance.now()
+    const { firstMs, failed } = await drive(balancer, agent, ratePerSec, seconds, tokens)
+    const elapsed = (performance.now() - started) / 1000
+    const cpu = (site.cpuSeconds('r1') - cpuBefore) / elapsed
+    balancer.dispose()
+    const requests = firstMs.length / elapsed
+    return {
+      requestsPerSec: Math.round(requests),
+      tokensPerSec: Math.round(requests * tokens),
+      cpuPct: Math.round(cpu * 100),
+      requestsPerSecPerCore: Math.round(requests / cpu),
+      tokensPerSecPerCore: Math.round(requests * tokens / cpu),
+      failed
+    }
+  } finally {
+    await site.stop()
+    await agent.destroy()
+  }
+}
+
+function round (value: number): number {
+  return Number(value.toFixed(2))
+}
--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -30,6 +30,7 @@
   chatId: 'x-chat-id',
   peerAuth: 'x-peer-auth',
   peerCall: 'x-peer-call',
+  peerId: 'x-peer-id',
   endpoint: 'x-endpoint',
   idempotencyKey: 'idempotency-key',
   lastEventId: 'last-event-id',
--- a/src/common/placement/PlacementPolicy.ts
+++ b/src/common/placement/PlacementPolicy.ts
@@ -11,6 +11,7 @@
 export const RANKED_ENGINES = 4 // the choices of a chat; stable, so that an overflowing chat finds its prefix again
 const PREFILL_COST = 0.08 // decode tokens that one uncached prompt token costs
 const ASSUMED_CACHED = 0.8 // part of a returning prompt expected where an earlier turn ran
+const VIEW_MARGIN = 0.7 // part of the bound's margin that is used; loads of other homes are seconds old
 const HEADROOM = 0.5 // part of the bound's margin kept for returning chats at reuseWeight 1
 
 /** Why an engine was chosen. */
@@ -54,7 +55,7 @@
 
   /** Highest multiple of the mean at which an engine takes the chat. */
   bound (returning: boolean): number {
-    const margin = this.#limits.loadBound - 1
+    const margin = (this.#limits.loadBound - 1) * VIEW_MARGIN
     return 1 + margin * (returning ? 1 : 1 - HEADROOM * this.#limits.reuseWeight)
   }
 
--- a/src/experiment/ProcessExperiments.ts
+++ b/src/experiment/ProcessExperiments.ts
@@ -7,10 +7,13 @@
 
 const BASE_PORT = 24_000
 const SIZES = [4, 8, 13, 20, 40] as const
-const SETTLE_MS = 6_000
+const SETTLE_MS = 12_000 // the runtime compiles for some seconds
 const MEASURE_SEC = 10
 const CHANGES = 3
 const PLAN_NODES = 360
+const PLAN_DATA_CENTRES = 7
+const MEASURED_DATA_CENTRES = 3
+const RELAYS_PER_DATA_CENTRE = 2
 const PLAN_CHANGES_PER_SEC = 12_000 / 86_400
 const PLAN_ACCOUNTS = 16_000
 
@@ -28,6 +31,7 @@
 export interface ControlResult {
   readonly points: readonly ControlPoint[]
   readonly bytes: Line
+  /** Over the part of the nodes that fetch from peers. */
   readonly change: Line
   readonly cpu: Line
   readonly memory: Line
@@ -85,6 +89,11 @@
   }
 }
 
+/** Part of the nodes that fetch a change from a peer: all but the relays. */
+function fetchingPart (nodes: number, dataCentres: number): number {
+  return Math.max(0, 1 - RELAYS_PER_DATA_CENTRE * dataCentres / nodes)
+}
+
 /** Measures all sizes and fits the slopes. */
 export async function measureControl (log: (text: string) => void): Promise<ControlResult> {
   const points: ControlPoint[] = []
@@ -96,7 +105,7 @@
   return {
     points,
     bytes: fitLine(xs, points.map(p => p.bytesPerSecPerNode)),
-    change: fitLine(xs, points.map(p => p.bytesPerChange)),
+    change: fitLine(xs.map(n => fetchingPart(n, MEASURED_DATA_CENTRES)), points.map(p => p.bytesPerChange)),
     cpu: fitLine(xs, points.map(p => p.cpuPct)),
     memory: fitLine(xs, points.map(p => p.controlMb)),
     reads: fitLine(xs, points.map(p => p.platformReadsPerSec))
@@ -104,9 +113,10 @@
 }
 
 /** What the fits come to at a number of nodes, file changes included. */
-export function projectControl (result: ControlResult, nodes: number, changesPerSec = PLAN_CHANGES_PER_SEC): Omit<ControlPoint, 'nodes' | 'bytesPerChange'> {
+export function projectControl (result: ControlResult, nodes: number, dataCentres = PLAN_DATA_CENTRES): Omit<ControlPoint, 'nodes' | 'bytesPerChange'> {
+  const perChange = lineAt(result.change, fetchingPart(nodes, dataCentres))
   return {
-    bytesPerSecPerNode: Math.round(lineAt(result.bytes, nodes) + lineAt(result.change, nodes) * changesPerSec),
+    bytesPerSecPerNode: Math.round(lineAt(result.bytes, nodes) + perChange * PLAN_CHANGES_PER_SEC),
     cpuPct: Number(lineAt(result.cpu, nodes).toFixed(2)),
     controlMb: Number(lineAt(result.memory, nodes).toFixed(2)),
     platformReadsPerSec: Number(lineAt(result.reads, nodes).toFixed(1))
--- a/src/load/ChatCaller.ts
+++ b/src/load/ChatCaller.ts
@@ -5,7 +5,7 @@
 import type { Outcome } from '../common/Types.js'
 import { answerText } from '../enginemodel/Answer.js'
 import type { Balancer } from './Balancer.js'
-import type { CallResult } from './Types.js'
+import type { CallResult, Cut } from './Types.js'
 
 const MAX_RESUMES = 8
 const RESUME_DELAY_MS = 200
@@ -48,10 +48,10 @@
     const body = JSON.stringify({ ...req, stream: true })
     let entry = this.#balancer.pick()
     let attempt = await this.#send(entry, '/v1/chat/completions', 'POST', body, headers, progress, started)
-    let cuts = 0
+    const cuts: Cut[] = []
     for (let i = 0; i < MAX_RESUMES && attempt.kind !== 'done'; i++) {
-      if (attempt.kind === 'refused' && i >= cuts) break
-      if (attempt.kind === 'cut') cuts++
+      if (attempt.kind === 'refused' && i >= cuts.length) break
+      if (attempt.kind === 'cut') cuts.push({ entry, at: performance.now() })
       await new Promise(resolve => setTimeout(resolve, RESUME_DELAY_MS))
       entry = this.#balancer.pick(entry)
       attempt = progress.requestId === ''
--- a/src/load/LoadRunner.ts
+++ b/src/load/LoadRunner.ts
@@ -5,7 +5,7 @@
 import { Balancer } from './Balancer.js'
 import { ChatCaller } from './ChatCaller.js'
 import { mintKey, ServiceCaller } from './ServiceCaller.js'
-import type { CallResult } from './Types.js'
+import type { CallResult, Cut } from './Types.js'
 
 const RETRY_AFTER_MS = 300
 
@@ -48,6 +48,7 @@
   readonly calls: Map<string, 'answered' | 'not-run' | 'outcome-unknown'>
   readonly firstTokenMs: number[]
   readonly failures: string[]
+  readonly cuts: Cut[]
 }
 
 interface Chat {
@@ -63,7 +64,17 @@
   readonly #agent = new Agent({ connections: null, pipelining: 1, connect: { timeout: 1_000 } })
   readonly #balancer: Balancer
   readonly counts: LoadCounts = {
-    requests: 0, answered: 0, notRun: 0, outcomeUnknown: 0, wrongAnswers: 0, cutStreams: 0, resumed: 0, calls: new Map(), firstTokenMs: [], failures: []
+    requests: 0,
+    answered: 0,
+    notRun: 0,
+    outcomeUnknown: 0,
+    wrongAnswers: 0,
+    cutStreams: 0,
+    resumed: 0,
+    calls: new Map(),
+    firstTokenMs: [],
+    failures: [],
+    cuts: []
   }
 
   #stopped = false
@@ -128,10 +139,11 @@
 
   #count (result: CallResult): void {
     this.counts.requests++
+    this.counts.cuts.push(...result.cuts)
     if (result.outcome === 'answered') {
       this.counts.answered++
       this.counts.firstTokenMs.push(result.firstTokenMs)
-      if (result.cuts > 0) this.counts.resumed++
+      if (result.cuts.length > 0) this.counts.resumed++
       if (!result.correct) this.counts.wrongAnswers++
     } else {
       if (result.outcome === 'not-run') this.counts.notRun++
--- a/src/load/Types.ts
+++ b/src/load/Types.ts
@@ -1,6 +1,13 @@
 /** What callers report. */
 import type { Outcome } from '../common/Types.js'
 
+/** A connection that broke before the answer was whole. */
+export interface Cut {
+  readonly entry: string
+  /** Monotonic time of the caller's process. */
+  readonly at: number
+}
+
 /** Result of one request as its caller saw it. */
 export interface CallResult {
   readonly outcome: Outcome
@@ -10,7 +17,7 @@
   readonly correct: boolean
   readonly text: string
   /** Connections that broke in the middle of the answer; the caller read on through another entry. */
-  readonly cuts: number
+  readonly cuts: readonly Cut[]
   readonly firstTokenMs: number
   readonly totalMs: number
   /** Longest time between two events. */
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -33,10 +33,10 @@
   .action(async (flags: Flags) => {
     const { entry, key, account, ...plan } = flags
     const counts = await new LoadRunner({ ...plan, entries: entry, accounts: [{ id: account, key, weight: 1 }], pauseMs: 500, promptChars: 800 }).run()
-    const { calls, firstTokenMs, failures, ...numbers } = counts
+    const { calls, firstTokenMs, failures, cuts, ...numbers } = counts
     firstTokenMs.sort((a, b) => a - b)
     const firstTokenP95Ms = Math.round(firstTokenMs[Math.floor(firstTokenMs.length * 0.95)] ?? 0)
-    console.log(JSON.stringify({ ...numbers, marked: calls.size, firstTokenP95Ms, failures: failures.slice(0, 5) }))
+    console.log(JSON.stringify({ ...numbers, marked: calls.size, cuts: cuts.length, firstTokenP95Ms, failures: failures.slice(0, 5) }))
   })
 
 await program.parseAsync()
--- a/src/router/ConfigTask.ts
+++ b/src/router/ConfigTask.ts
@@ -25,6 +25,7 @@
 const RELAY_TERM_MS = 60_000 // relays change, so that the cost of whole reads is spread over all nodes
 const ROLE_CHECK_MS = 500
 const RETRY_MS = 300
+const PART_HASH_LENGTH = 12 // 72 bits; the digest of the whole file is checked as well
 const START_ATTEMPTS = 10
 
 /** What a peer offers. */
@@ -46,7 +47,7 @@
   #parted: PartedFile = { manifest: [], parts: new Map() }
   #refused: RefusedVersion | undefined
   #seenRevision = -1
-  readonly #fetching = new Set<string>()
+  #fetching = false
 
   /** Fires when another file comes into force. */
   readonly onChange = this.#changed.event
@@ -118,7 +119,7 @@
 
   #accept (version: ConfigVersion, text: string, source: string): void {
     this.#current = new VotedConfig(version)
-    this.#parted = splitText(text, piece => sha256(piece).slice(0, 22))
+    this.#parted = splitText(text, piece => sha256(piece).slice(0, PART_HASH_LENGTH))
     this.#metrics.configRevision.set(version.revision)
     this.#log.info({ step: 'config', peer: source, revision: version.revision, digest: version.digest }, 'file in force')
     this.#changed.fire(this.#current)
@@ -164,21 +165,20 @@
   }
 
   #onDigest (digest: InstanceDigest): void {
-    if (digest.configRevision === 0) return
+    if (digest.configRevision === 0 || this.#fetching) return // one fetch at a time; digests go on coming
     const now = this.#current?.version
     const mine = { revision: now?.revision ?? 0, digest: now?.digest.slice(0, 16) ?? '' }
     if (supersedes({ revision: digest.configRevision, digest: digest.configDigest }, mine)) this.#fetchFrom(digest.id).catch(() => {})
   }
 
   async #fetchFrom (id: string): Promise<void> {
-    if (this.#fetching.has(id)) return
-    this.#fetching.add(id)
+    this.#fetching = true
     try {
       await this.#fetch(id)
     } catch (e) {
       this.#log.debug({ step: 'config', peer: id, err: String(e) }, 'peer gave no file')
     } finally {
-      this.#fetching.delete(id)
+      this.#fetching = false
     }
   }
 
--- a/src/router/Fleet.ts
+++ b/src/router/Fleet.ts
@@ -11,7 +11,7 @@
 import type { InstanceAddress, PlatformList } from '../common/Types.js'
 import type { PeerSocket } from './PeerSocket.js'
 
-const TICK_MS = 50
+const TICK_MS = 100
 const HOMES_KNOWN = 3 // the home and those that take over from it
 
 /** What this node adds to its own digest. */
--- a/src/router/Metrics.ts
+++ b/src/router/Metrics.ts
@@ -1,6 +1,8 @@
 /** Prometheus metrics of a router. */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 
+const EVENT_LOOP_PRECISION_MS = 200 // a finer timer costs more than all other control work
+
 export class Metrics {
   readonly registry = new Registry()
   readonly requests = new Counter({
@@ -37,6 +39,6 @@
   }
 
   constructor () {
-    collectDefaultMetrics({ register: this.registry })
+    collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS })
   }
 }
--- a/src/router/PeerApi.ts
+++ b/src/router/PeerApi.ts
@@ -128,12 +128,12 @@
   return { authorized: header !== undefined && constantTimeEqual(header, secret) }
 }
 
-/** Client of one instance's API. */
-export function createPeerApiClient (address: string, port: number, secret: string) {
+/** Client of one instance's API. @param self the calling instance; operators' tools give none, and their calls are not control traffic. */
+export function createPeerApiClient (address: string, port: number, secret: string, self?: string) {
   return createTRPCClient<PeerApi>({
     links: [httpLink({
       url: `http://${address}:${port}/trpc`,
-      headers: { [HEADER.peerAuth]: secret },
+      headers: { [HEADER.peerAuth]: secret, ...(self === undefined ? {} : { [HEADER.peerId]: self }) },
       fetch: async (url, init) => await fetch(url, { ...init, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) } as RequestInit)
     })]
   })
@@ -166,7 +166,7 @@
     const name = `${address}:${port}`
     let client = this.#clients.get(name)
     if (client === undefined) {
-      client = createPeerApiClient(address, port, this.#secret)
+      client = createPeerApiClient(address, port, this.#secret, this.#fleet.self.id)
       this.#clients.set(name, client)
     }
     return client
--- a/src/router/PeerServer.ts
+++ b/src/router/PeerServer.ts
@@ -111,7 +111,7 @@
       return
     }
     if (url.startsWith('/trpc/')) {
-      this.#count(req, res)
+      if (headerOf(req, HEADER.peerId) !== undefined) this.#count(req, res)
       this.#trpc(req, res)
       return
     }
--- a/src/standin/PlatformServer.ts
+++ b/src/standin/PlatformServer.ts
@@ -16,7 +16,7 @@
   /** Answers nothing. */
   readonly down?: boolean
   /** Serves this older revision as if it were the newest. */
-  readonly rewindTo?: number
+  readonly rewindTo?: number | null
 }
 
 export class PlatformServer {
--- /dev/null
+++ b/src/tools/MarkedRuns.ts
@@ -0,0 +1,20 @@
+/** Compares what callers were told of marked calls with what the workers ran. */
+import type { LoadCounts } from '../load/LoadRunner.js'
+import type { Site } from './Site.js'
+
+export interface MarkedRuns {
+  readonly doubleRuns: number
+  /** Calls that ran though their caller was told that they had not. */
+  readonly notRunButRan: number
+}
+
+export async function compareMarkedRuns (site: Site, counts: LoadCounts): Promise<MarkedRuns> {
+  const total = new Map<string, number>()
+  for (const worker of await site.workerStats()) {
+    for (const [id, n] of Object.entries(worker.runs)) total.set(id, (total.get(id) ?? 0) + n)
+  }
+  return {
+    doubleRuns: [...total.values()].filter(n => n > 1).length,
+    notRunButRan: [...counts.calls].filter(([id, outcome]) => outcome === 'not-run' && total.has(id)).length
+  }
+}
--- a/src/tools/SiteSpec.ts
+++ b/src/tools/SiteSpec.ts
@@ -1,6 +1,7 @@
 /** Sizes and files of the sites that the development tools start on loopback. */
 import { createHash } from 'node:crypto'
 import type { EngineSettings } from '../common/generated/EngineSettings.js'
+import type { LoadPlan } from '../load/LoadRunner.js'
 import type { VotedFile } from '../common/generated/VotedFile.js'
 
 /** A site to start. */
@@ -40,6 +41,22 @@
   return createHash('sha256').update(keyOf(account)).digest('base64url').slice(0, 22)
 }
 
+/** Load of the demo and of chaos runs: 140 returning chats and 6 callers of marked calls, two accounts large. */
+export function loadPlan (site: { readonly spec: SiteSpec, readonly entries: readonly string[] }): Omit<LoadPlan, 'seconds' | 'seed'> {
+  return {
+    entries: site.entries,
+    accounts: votedFile(site.spec).accounts.map(a => ({ id: a.id, key: keyOf(a.id), weight: a.tier === 'large' ? 8 : 1 })),
+    model: 'assistant',
+    service: 'orders',
+    path: '/reservations',
+    chats: 140,
+    callers: 6,
+    pauseMs: 500,
+    promptChars: 1_600,
+    answerTokens: 40
+  }
+}
+
 /** Names of what a site consists of, with ports. */
 export interface SiteNames {
   readonly platformPort: number
--- a/src/tools/demo.ts
+++ b/src/tools/demo.ts
@@ -4,8 +4,9 @@
  * the routers' own count. The last line is one JSON object.
  */
 import { LoadRunner, type LoadCounts } from '../load/LoadRunner.js'
+import { compareMarkedRuns } from './MarkedRuns.js'
 import { Site, sleep } from './Site.js'
-import { cuscoSpec, keyOf, votedFile } from './SiteSpec.js'
+import { cuscoSpec, loadPlan, votedFile } from './SiteSpec.js'
 import { SkewSampler } from './SkewSampler.js'
 
 const BASE_PORT = 21_000
@@ -41,16 +42,6 @@
   return inForceMs
 }
 
-/** Runs of calls that the callers were told had not run, and calls that ran twice. */
-async function markedRuns (site: Site, counts: LoadCounts): Promise<{ readonly doubleRuns: number, readonly notRunButRan: number }> {
-  const runs = (await site.workerStats()).flatMap(w => Object.entries(w.runs))
-  const total = new Map<string, number>()
-  for (const [id, n] of runs) total.set(id, (total.get(id) ?? 0) + n)
-  const doubleRuns = [...total.values()].filter(n => n > 1).length
-  const notRunButRan = [...counts.calls].filter(([id, outcome]) => outcome === 'not-run' && total.has(id)).length
-  return { doubleRuns, notRunButRan }
-}
-
 async function main (): Promise<number> {
   const spec = cuscoSpec(BASE_PORT)
   const site = new Site(spec)
@@ -59,21 +50,7 @@
     await site.start()
     log('all routers are ready; key leases settle')
     await sleep(SETTLE_MS)
-    const accounts = votedFile(spec).accounts.map(a => ({ id: a.id, key: keyOf(a.id), weight: a.tier === 'large' ? 8 : 1 }))
-    const load = new LoadRunner({
-      entries: site.entries,
-      accounts,
-      model: 'assistant',
-      service: 'orders',
-      path: '/reservations',
-      chats: 140,
-      callers: 6,
-      seconds: SECONDS,
-      seed: 1,
-      pauseMs: 500,
-      promptChars: 1_600,
-      answerTokens: 40
-    })
+    const load = new LoadRunner({ ...loadPlan(site), seconds: SECONDS, seed: 1 })
     const skew = new SkewSampler(site, MEAN_FLOOR_TOKENS)
     const before = await site.statuses()
     const started = performance.now()
@@ -91,7 +68,7 @@
 async function report (
   site: Site, counts: LoadCounts, configInForceMs: number, skew: SkewSampler, before: Awaited<ReturnType<Site['statuses']>>, seconds: number
 ): Promise<number> {
-  const { doubleRuns, notRunButRan } = await markedRuns(site, counts)
+  const { doubleRuns, notRunButRan } = await compareMarkedRuns(site, counts)
   const engines = await site.engineStats()
   const sum = (pick: (e: typeof engines[number]) => number): number => engines.reduce((total, e) => total + pick(e), 0)
   const reuse = sum(e => e.returningCached) / Math.max(1, sum(e => e.returningTokens))
