Stand in for unreachable homes fleet-wide, and discard the first random numbers

Ruled out: the engines of the cut data centre, which served their own side. Change: a failed connection marks the instance unreachable for 2.5 s or until it is heard; homes and ranks skip it.

--- a/src/bench/DecisionBench.ts
+++ b/src/bench/DecisionBench.ts
@@ -37,7 +37,8 @@
     if (i >= WARM_UP) times.push(Number(process.hrtime.bigint() - started) / 1000)
   }
   const directory = new ChatDirectory(CHATS)
-  return { engines: ENGINES, chats: CHATS, p50Us: round(quantile(times, 0.5)), p99Us: round(quantile(times, 0.99)), bytesPerChat: round(directory.bytes / CHATS) }
+  const [p50Us, p99Us] = [round(quantile(times, 0.5)), round(quantile(times, 0.99))]
+  return { engines: ENGINES, chats: CHATS, p50Us, p99Us, bytesPerChat: round(directory.bytes / CHATS) }
 }
 
 function round (value: number): number {
--- a/src/common/SeededRandom.ts
+++ b/src/common/SeededRandom.ts
@@ -3,11 +3,14 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { IRandom } from './Services.js'
 
+const DISCARDED = 32 // the first numbers of small seeds are much alike
+
 export class SeededRandom implements IRandom {
   readonly #rng: RandomGenerator
 
   constructor (seed: number) {
     this.#rng = xoroshiro128plus(seed)
+    for (let i = 0; i < DISCARDED; i++) this.#rng.next()
   }
 
   next (): number {
--- a/src/router/ChatEntry.ts
+++ b/src/router/ChatEntry.ts
@@ -199,7 +199,11 @@
           else if (!res.write(bytes)) run.pause()
         },
         onReply: () => { if (!res.headersSent) resolve(false); else res.destroy() },
-        onError: () => { if (!res.headersSent) resolve(false); else res.destroy() }
+        onError: error => {
+          if (error.code === 'peer_unreachable' && home !== undefined) this.#parts.fleet.noteUnreachable(home)
+          if (!res.headersSent) resolve(false)
+          else res.destroy()
+        }
       }
       const run = target.resume({ requestId, endpoint: endpoint.id, from, timeoutMs: RESUME_TIMEOUT_MS }, sink)
       res.on('drain', () => run.resume())
--- a/src/router/ChatSession.ts
+++ b/src/router/ChatSession.ts
@@ -54,7 +54,6 @@
   readonly #body: Uint8Array
   readonly #out: ICallerStream
   readonly #excluded: string[] = []
-  readonly #avoided = new Set<string>() // homes that did not answer
   readonly #declined = new Map<string, number>()
   readonly #kept: Uint8Array[] = []
   #run: IChatRun | undefined
@@ -110,7 +109,6 @@
   instanceGone (id: string): void {
     if (this.#over || id !== this.#home) return
     this.#run?.stop()
-    this.#avoided.add(id)
     this.#broken(routeError('response_lost', 'stream', id, 'the home is gone'))
   }
 
@@ -190,7 +188,7 @@
 
   /** The home of an engine; remembers which it was. */
   #target (endpoint: string): IHome | undefined {
-    const id = this.#parts.fleet.homeAvoiding(endpoint, this.#avoided)
+    const id = this.#parts.fleet.homeOf(endpoint)
     this.#home = id ?? ''
     return id === undefined ? undefined : this.#parts.homeAt(id)
   }
@@ -209,7 +207,7 @@
 
   /** This attempt did not run; an answer that has begun is still read on. */
   #refused (error: RouteError): void {
-    if (error.code === 'peer_unreachable') this.#avoided.add(this.#home)
+    if (error.code === 'peer_unreachable') this.#parts.fleet.noteUnreachable(this.#home)
     if (this.#accepted || outcomeOf(error) !== 'not-run') {
       this.#broken(error)
       return
--- a/src/router/Fleet.ts
+++ b/src/router/Fleet.ts
@@ -12,6 +12,7 @@
 import type { PeerSocket } from './PeerSocket.js'
 
 const TICK_MS = 100
+const UNREACHABLE_MS = 2_500 // membership has noticed a dead instance by then
 const HOMES_KNOWN = 3 // the home and those that take over from it
 
 /** What this node adds to its own digest. */
@@ -37,6 +38,7 @@
   #list: PlatformList | undefined
   #homes = new Map<string, readonly string[]>()
   #homesStale = true
+  readonly #unreachable = new Map<string, number>()
 
   /** Fires when members or the list changed. */
   readonly onChange = this.#changed.event
@@ -101,20 +103,18 @@
     this.#notify()
   }
 
-  /** The instance that dispatches to an endpoint; undefined when none of its data centre lives. */
+  /** The instance that dispatches to an endpoint; undefined when none of its data centre can be reached. */
   homeOf (endpointId: string): string | undefined {
-    return this.#homesOf(endpointId)[0]
-  }
-
-  /** The home, or the instance that takes over from it when `avoided` did not answer. */
-  homeAvoiding (endpointId: string, avoided: ReadonlySet<string>): string | undefined {
-    const homes = this.#homesOf(endpointId)
-    return homes.find(id => !avoided.has(id)) ?? homes[0]
+    if (this.#homesStale) this.#rebuildHomes()
+    const homes = this.#homes.get(endpointId)
+    if (this.#unreachable.size === 0) return homes?.[0]
+    const now = this.#clock.nowMs()
+    return homes?.find(id => now >= (this.#unreachable.get(id) ?? 0))
   }
 
-  #homesOf (endpointId: string): readonly string[] {
-    if (this.#homesStale) this.#rebuildHomes()
-    return this.#homes.get(endpointId) ?? []
+  /** A connection to the instance failed: others stand in for it until it is heard again, or for a while. */
+  noteUnreachable (id: string): void {
+    if (id !== this.self.id) this.#unreachable.set(id, this.#clock.nowMs() + UNREACHABLE_MS)
   }
 
   /** Rebuilds what depends on the file in force. */
@@ -144,6 +144,7 @@
     const now = this.#clock.nowMs()
     this.#send(this.#membership.receive(datagram, now))
     for (const load of datagram.from.loads) this.loads.record(load.endpoint, load.work, now)
+    this.#unreachable.delete(datagram.from.id)
     this.#heard.fire(datagram.from)
   }
 
--- a/src/router/ServiceEntry.ts
+++ b/src/router/ServiceEntry.ts
@@ -82,7 +82,8 @@
       worst = worse(worst, result.error)
       if (retries >= MAX_RETRIES || !this.#parts.budget.tryRetry()) return err(worst)
       this.#parts.metrics.retries.inc({ cause: result.error.code })
-      avoided.push(node)
+      if (result.error.code === 'peer_unreachable') this.#parts.fleet.noteUnreachable(node)
+      else avoided.push(node)
     }
   }
 
@@ -92,7 +93,7 @@
     const now = clock.nowMs()
     const region = this.#parts.config()?.regionOf(fleet.self.dataCentre)
     const options = (this.#parts.config()?.workersOf(service) ?? []).flatMap(w => {
-      const home = fleet.homeAvoiding(w.id, new Set(avoided))
+      const home = fleet.homeOf(w.id)
       const work = endpoints.work(w.hash, now)
       if (home === undefined || avoided.includes(home) || work === UNAVAILABLE) return []
       return [{ home, cost: (work ?? 1) / w.weight + (w.region === region ? 0 : 1e6) }]
