--- a/src/bench/DecisionBench.ts
+++ b/src/bench/DecisionBench.ts
@@ -11,6 +11,7 @@
 const ENGINES = 400
 const CHATS = 7_000
 const ROUNDS = 50_000
+const REQUEST_INTERVAL_MS = 2.2 // ten times the part of a node in the planned requests
 const WARM_UP = 10_000
 
 export interface DecisionResult {
@@ -23,7 +24,7 @@
 
 export function benchDecision (): DecisionResult {
   const engines = Array.from({ length: ENGINES }, (_, i) => ({ hash: hashString(`engine-${i}`), weight: 1 }))
-  const view = new LoadView()
+  const view = new LoadView(Infinity)
   engines.forEach((e, i) => view.record(e.hash, 900 + (i * 37) % 200, 0))
   const placement = new HomePlacement(CHATS)
   const limits = { loadBound: 1.25, reuseWeight: 0.5 }
@@ -32,7 +33,7 @@
     const chat: ChatPlacement = { keyHash: hashString(`chat-${i % CHATS}`), tag: i % CHATS, promptTokens: 800, answerTokens: 300, returning: true }
     const started = process.hrtime.bigint()
     const ranked = rankTop(chat.keyHash, engines, RANKED_ENGINES)
-    const decision = placement.decide(chat, { limits, ranked, all: engines, warming: false }, view, 0)
+    const decision = placement.decide(chat, { model: 'm', limits, ranked, all: engines, warming: false }, view, i * REQUEST_INTERVAL_MS)
     if (decision !== undefined) placement.placed(chat, decision.engine.hash)
     if (i >= WARM_UP) times.push(Number(process.hrtime.bigint() - started) / 1000)
   }
--- a/src/common/placement/HomePlacement.ts
+++ b/src/common/placement/HomePlacement.ts
@@ -6,10 +6,18 @@
 import { ChatDirectory, type ChatEntry } from './ChatDirectory.js'
 import type { ChatPlacement } from './ChatKey.js'
 import type { ILoadView } from './LoadView.js'
-import { PlacementPolicy, requestWork, type PlacementDecision, type PlacementLimits } from './PlacementPolicy.js'
+import { PlacementPolicy, requestWork, type MeanLoad, type PlacementDecision, type PlacementLimits } from './PlacementPolicy.js'
+
+const MEAN_TTL_MS = 20 // far below the age of the samples
+
+interface TimedMean extends MeanLoad {
+  readonly at: number
+  readonly engines: number
+}
 
 export class HomePlacement {
   readonly #directory: ChatDirectory
+  readonly #means = new Map<string, TimedMean>()
 
   /** @param capacity chats remembered at most. */
   constructor (capacity: number) {
@@ -44,24 +52,40 @@
   /** Chooses an engine as the home of the chat's first engine. */
   decide<T extends RendezvousCandidate> (chat: ChatPlacement, known: HomeKnowledge<T>, view: ILoadView, now: number): PlacementDecision<T> | undefined {
     const held = this.#directory.get(chat.keyHash, chat.tag)
-    return new PlacementPolicy(known.limits).choose(chat, { ...known, held }, view, now)
+    const { ranked, all, warming } = known
+    return new PlacementPolicy(known.limits).choose(chat, { ranked, all, warming, held, mean: this.#mean(known, view, now) }, view, now)
   }
 
   /** True when an engine whose work is known exactly takes a chat that another home sent. */
-  takes<T extends RendezvousCandidate> (chat: ChatPlacement, engine: T, known: Pick<HomeKnowledge<T>, 'limits' | 'all'>, view: ILoadView, now: number): boolean {
-    const mean = view.meanPerWeight(known.all, now)
-    const weight = known.all.reduce((sum, e) => sum + e.weight, 0)
-    return new PlacementPolicy(known.limits).fits(view.work(engine.hash, now) ?? 0, requestWork(chat, 0), engine.weight, mean, weight, true)
+  takes<T extends RendezvousCandidate> (chat: ChatPlacement, engine: T, known: LoadKnowledge<T>, view: ILoadView, now: number): boolean {
+    const { perWeight, totalWeight } = this.#mean(known, view, now)
+    return new PlacementPolicy(known.limits).fits(view.work(engine.hash, now) ?? 0, requestWork(chat, 0), engine.weight, perWeight, totalWeight, true)
+  }
+
+  /** Mean over all engines of a model; worked out anew at most each MEAN_TTL_MS, as it takes most of a decision. */
+  #mean<T extends RendezvousCandidate> (known: LoadKnowledge<T>, view: ILoadView, now: number): MeanLoad {
+    const cached = this.#means.get(known.model)
+    if (cached !== undefined && now - cached.at < MEAN_TTL_MS && cached.engines === known.all.length) return cached
+    let totalWeight = 0
+    for (const engine of known.all) totalWeight += engine.weight
+    const mean = { at: now, engines: known.all.length, perWeight: view.meanPerWeight(known.all, now), totalWeight }
+    this.#means.set(known.model, mean)
+    return mean
   }
 }
 
-/** What a home knows when it decides. */
-export interface HomeKnowledge<T extends RendezvousCandidate> {
+/** What a home knows of the engines of a model. */
+export interface LoadKnowledge<T extends RendezvousCandidate> {
+  readonly model: string
   readonly limits: PlacementLimits
+  /** All engines of the model. */
+  readonly all: readonly T[]
+}
+
+/** What a home knows when it decides. */
+export interface HomeKnowledge<T extends RendezvousCandidate> extends LoadKnowledge<T> {
   /** Engines that can be used, best first. */
   readonly ranked: readonly T[]
-  /** All engines of the model, for the mean. */
-  readonly all: readonly T[]
   /** True when the first ranked engine joined a short while ago and holds few prefixes. */
   readonly warming: boolean
 }
--- a/src/common/placement/Placement.test.ts
+++ b/src/common/placement/Placement.test.ts
@@ -62,6 +62,7 @@
   const choose = (works: readonly number[], held?: number, c = chat('k'), warming = false) => policy.choose(c, {
     ranked: rankTop(c.keyHash, engines, RANKED_ENGINES),
     all: engines,
+    mean: { perWeight: viewOf(works).meanPerWeight(engines, 0), totalWeight: 8 },
     held: held === undefined ? undefined : { endpoint: engines[held]!.hash, tokens: 180 },
     warming
   }, viewOf(works), 0)
--- a/src/common/placement/PlacementPolicy.ts
+++ b/src/common/placement/PlacementPolicy.ts
@@ -23,12 +23,20 @@
   readonly reuseWeight: number
 }
 
+/** Load over all engines of a model. */
+export interface MeanLoad {
+  /** Mean work per unit of weight. */
+  readonly perWeight: number
+  readonly totalWeight: number
+}
+
 /** What the home of the chat's first engine knows. */
 export interface PlacementKnowledge<T extends RendezvousCandidate> {
   /** Engines that can be used, best first. */
   readonly ranked: readonly T[]
-  /** All engines of the model, for the mean. */
+  /** All engines of the model. */
   readonly all: readonly T[]
+  readonly mean: MeanLoad
   readonly held: ChatEntry | undefined
   /** True when the first ranked engine joined a short while ago and holds few prefixes. */
   readonly warming: boolean
@@ -68,9 +76,7 @@
 
   /** Chooses among the candidates; undefined when none is usable. */
   choose<T extends RendezvousCandidate> (chat: ChatPlacement, known: PlacementKnowledge<T>, view: ILoadView, now: number): PlacementDecision<T> | undefined {
-    const mean = view.meanPerWeight(known.all, now)
-    let totalWeight = 0
-    for (const engine of known.all) totalWeight += engine.weight
+    const { perWeight: mean, totalWeight } = known.mean
     for (const option of this.#options(chat, known)) {
       const work = view.work(option.engine.hash, now)
       if (work === UNAVAILABLE) continue
--- a/src/experiment/OurFleet.ts
+++ b/src/experiment/OurFleet.ts
@@ -76,7 +76,7 @@
       this.hops++
       const all = this.#seenBy(target)
       const load = this.#loadOf(chosen)
-      if (load.open(now) && target.placement.takes(req.placement, chosen, { limits: this.#world.p, all }, target, now)) return chosen
+      if (load.open(now) && target.placement.takes(req.placement, chosen, { model: 'm', limits: this.#world.p, all }, target, now)) return chosen
       excluded.add(chosen)
       if (load.open(now) && (least === undefined || load.work(now) < this.#exact(least))) least = chosen
     }
@@ -111,7 +111,7 @@
     const usable = all.filter(e => home.work(e.hash, now) !== UNAVAILABLE)
     const ranked = rankTop(req.placement.keyHash, usable, RANKED_ENGINES)
     const warming = ranked[0] !== undefined && now - ranked[0].joinedAt < WARMING_MS && now > WARMING_MS
-    const decision = home.placement.decide(req.placement, { limits: this.#world.p, ranked, all, warming }, home, now)
+    const decision = home.placement.decide(req.placement, { model: 'm', limits: this.#world.p, ranked, all, warming }, home, now)
     if (decision !== undefined) home.placement.placed(req.placement, decision.engine.hash)
     return decision?.engine
   }
--- a/src/router/LocalHome.ts
+++ b/src/router/LocalHome.ts
@@ -127,7 +127,7 @@
     const ranked = rankEngines(this.#parts, config, model, placement.keyHash, excluded)
     const regions = new Set(ranked.map(e => e.region))
     const all = config.enginesOf(model).filter(e => regions.has(e.region) && !excluded.includes(e.id) && fleet.homeOf(e.id) !== undefined)
-    return this.#placement.decide(placement, { limits: config, ranked, all, warming: this.#warming(ranked[0]) }, endpoints, now)
+    return this.#placement.decide(placement, { model, limits: config, ranked, all, warming: this.#warming(ranked[0]) }, endpoints, now)
   }
 
   async #place (call: ChatCall, body: Uint8Array, sink: IChatSink, run: Run): Promise<void> {
@@ -170,7 +170,7 @@
     }
     if (call.force || call.mayRedirect) return undefined
     const all = config.enginesOf(call.model).filter(e => e.region === endpoint.region)
-    if (this.#placement.takes(call.placement, endpoint, { limits: config, all }, this.#parts.endpoints, now)) return undefined
+    if (this.#placement.takes(call.placement, endpoint, { model: call.model, limits: config, all }, this.#parts.endpoints, now)) return undefined
     return { kind: 'declined', endpoint: endpoint.id, load: load.work(now) / endpoint.weight }
   }
 
