--- a/src/common/Constants.ts
+++ b/src/common/Constants.ts
@@ -26,7 +26,6 @@
   prefixKey: 'x-prefix-key',
   priority: 'x-priority',
   resumeFrom: 'x-resume-from',
-  fencing: 'x-fencing-number',
   chatId: 'x-chat-id',
   peerAuth: 'x-peer-auth',
   peerCall: 'x-peer-call',
--- a/src/common/membership/Membership.test.ts
+++ b/src/common/membership/Membership.test.ts
@@ -2,7 +2,8 @@
 import type { ProbeDatagram } from '../generated/PeerDatagram.js'
 import { SeededRandom } from '../SeededRandom.js'
 import type { InstanceAddress } from '../Types.js'
-import { Membership, overrides, type Outgoing } from './Membership.js'
+import { Membership, type Outgoing } from './Membership.js'
+import { overrides } from './RumourQueue.js'
 
 const STEP_MS = 50
 const DELAY_MS = 1
--- a/src/common/membership/Membership.ts
+++ b/src/common/membership/Membership.ts
@@ -7,14 +7,14 @@
 import { DEAD_PROBE_INTERVAL_MS, DEAD_RETENTION_MS, PROBE_INTERVAL_MS, PROBE_TIMEOUT_MS, SLEEP_DETECT_MS, SUSPECT_TIMEOUT_MS } from '../Constants.js'
 import { Emitter } from '../Emitter.js'
 import type { InstanceDigest, MemberRumour, ProbeDatagram } from '../generated/PeerDatagram.js'
-import { digestOfSet, hashString } from '../Hash.js'
+import { digestOfSet } from '../Hash.js'
 import type { IRandom } from '../Services.js'
 import type { InstanceAddress, MemberState } from '../Types.js'
+import { successorOf } from './Ring.js'
+import { MAX_RUMOURS, overrides, RumourQueue } from './RumourQueue.js'
 
-const MAX_RUMOURS = 10 // keeps a datagram under 1,200 bytes
 const INDIRECT_PROBES = 2
 const URGENT_FANOUT = 3 // a death is pushed at once, so that spreading takes few intervals
-const SPREAD_FACTOR = 3 // sends of one rumour for each doubling of the fleet
 
 /** A member with what it last said of itself. */
 export interface Member extends InstanceAddress {
@@ -41,24 +41,12 @@
   indirect: boolean
 }
 
-interface Rumour {
-  readonly row: MemberRumour
-  sends: number
-}
-
-/** True when what is said of (incarnation, state) `a` goes before `b`. */
-export function overrides (a: Pick<MemberRumour, 'incarnation' | 'state'>, b: Pick<MemberRumour, 'incarnation' | 'state'>): boolean {
-  if (a.incarnation !== b.incarnation) return a.incarnation > b.incarnation
-  const rank = { alive: 0, suspect: 1, leaving: 2, dead: 3 } as const
-  return rank[a.state] > rank[b.state]
-}
-
 export class Membership {
   readonly #self: InstanceAddress
   readonly #random: IRandom
   readonly #digest: DigestSource
   readonly #members = new Map<string, Member>()
-  readonly #rumours = new Map<string, Rumour>()
+  readonly #rumours = new RumourQueue()
   readonly #pending = new Map<number, Pending>()
   readonly #relayed = new Map<number, { readonly to: InstanceAddress, readonly seq: number, readonly at: number }>()
   readonly #out: Outgoing[] = []
@@ -82,7 +70,7 @@
     this.#incarnation = incarnation
     this.#random = random
     this.#digest = digest
-    this.#spread(this.#selfRumour('alive'))
+    this.#rumours.spread(this.#selfRumour('alive'))
   }
 
   get incarnation (): number {
@@ -131,7 +119,7 @@
   /** Announces that this node leaves. */
   leave (): Outgoing[] {
     this.#leaving = true
-    this.#spread(this.#selfRumour('leaving'))
+    this.#rumours.spread(this.#selfRumour('leaving'))
     this.#pushUrgent()
     return this.#take()
   }
@@ -152,7 +140,7 @@
     return this.#take()
   }
 
-  /** Takes a datagram in. @param from address it came from, as its sender states it. */
+  /** Takes a datagram in. */
   receive (datagram: ProbeDatagram, now: number): Outgoing[] {
     const before = this.#members.get(datagram.from.id)
     for (const row of datagram.rumours) this.#apply(row, now)
@@ -219,7 +207,7 @@
     if (row.incarnation < this.#incarnation || row.state === 'alive') return
     if (row.state === 'leaving' && this.#leaving) return
     this.#incarnation = row.incarnation + 1
-    this.#spread(this.#selfRumour(this.#leaving ? 'leaving' : 'alive'))
+    this.#rumours.spread(this.#selfRumour(this.#leaving ? 'leaving' : 'alive'))
     this.#pushUrgent()
   }
 
@@ -229,7 +217,7 @@
     if (old?.state === m.state && old.incarnation === m.incarnation) return
     this.#membersHash = undefined
     this.#successor = undefined
-    this.#spread(rumourOf(m, m.state))
+    this.#rumours.spread(rumourOf(m, m.state))
     if (old?.state !== m.state) this.#changed.fire(m)
   }
 
@@ -240,7 +228,7 @@
       if (age < PROBE_TIMEOUT_MS) continue
       this.#pending.delete(seq)
       const m = this.#members.get(probe.target)
-      if (m?.state === 'alive') this.#suspect(m, now)
+      if (m?.state === 'alive') this.#apply(rumourOf(m, 'suspect'), now)
     }
     for (const m of [...this.#members.values()]) {
       if (m.state === 'suspect' && now - m.since >= SUSPECT_TIMEOUT_MS) this.#apply(rumourOf(m, 'dead'), now)
@@ -254,10 +242,6 @@
     }
   }
 
-  #suspect (m: Member, now: number): void {
-    this.#apply(rumourOf(m, 'suspect'), now)
-  }
-
   /** Every second probe goes to the next member on the ring, so that none waits long for its probe; the others are random. */
   #probeNext (now: number): void {
     this.#probeRing = !this.#probeRing
@@ -279,12 +263,7 @@
 
   /** The live member that follows this node in the order of hashes. */
   #ringSuccessor (): Member | undefined {
-    if (this.#successor === undefined) {
-      const place = hashString(this.#self.id)
-      const distance = (id: string): number => (hashString(id) - place) >>> 0
-      const live = [...this.#members.values()].filter(m => m.state === 'alive')
-      this.#successor = live.reduce<string>((best, m) => best === '' || distance(m.id) < distance(best) ? m.id : best, '')
-    }
+    this.#successor ??= successorOf(this.#self.id, [...this.#members.values()].filter(m => m.state === 'alive').map(m => m.id))
     return this.#members.get(this.#successor)
   }
 
@@ -327,28 +306,13 @@
   }
 
   #send (to: InstanceAddress, kind: ProbeDatagram['kind'], seq: number, full: boolean, target = ''): void {
-    const rumours = full ? this.#sample() : this.#nextRumours()
+    const rumours = full ? this.#sample() : this.#rumours.next(this.#members.size + 1)
     const held = this.#members.get(to.id)
     if (held !== undefined && held.state !== 'alive') rumours.push(rumourOf(held, held.state)) // lets it refute
     const from = { id: this.#self.id, incarnation: this.#incarnation, members: this.membersHash(), ...this.#digest() }
     this.#out.push({ to, datagram: { kind, seq, target, from, rumours } })
   }
 
-  #spread (row: MemberRumour): void {
-    this.#rumours.set(row.id, { row, sends: 0 })
-  }
-
-  /** The rumours sent least often; each is dropped after a number of sends that reaches all with high probability. */
-  #nextRumours (): MemberRumour[] {
-    if (this.#rumours.size === 0) return []
-    const limit = SPREAD_FACTOR * Math.ceil(Math.log2(this.#members.size + 2))
-    const next = [...this.#rumours.values()].sort((a, b) => a.sends - b.sends).slice(0, MAX_RUMOURS)
-    for (const rumour of next) {
-      if (++rumour.sends >= limit) this.#rumours.delete(rumour.row.id)
-    }
-    return next.map(r => r.row)
-  }
-
   /** Rows for a peer with another view: this node, then random members. */
   #sample (): MemberRumour[] {
     const rows = this.#shuffled([...this.#members.values()]).slice(0, MAX_RUMOURS - 1).map(m => rumourOf(m, m.state))
--- a/src/common/placement/HomePlacement.ts
+++ b/src/common/placement/HomePlacement.ts
@@ -5,7 +5,7 @@
 import type { RendezvousCandidate } from '../Rendezvous.js'
 import { ChatDirectory, type ChatEntry } from './ChatDirectory.js'
 import type { ChatPlacement } from './ChatKey.js'
-import type { ILoadView } from './LoadView.js'
+import { meanPerWeight, type ILoadView } from './LoadView.js'
 import { PlacementPolicy, requestWork, type MeanLoad, type PlacementDecision, type PlacementLimits } from './PlacementPolicy.js'
 
 const MEAN_TTL_MS = 20 // far below the age of the samples
@@ -68,7 +68,7 @@
     if (cached !== undefined && now - cached.at < MEAN_TTL_MS && cached.engines === known.all.length) return cached
     let totalWeight = 0
     for (const engine of known.all) totalWeight += engine.weight
-    const mean = { at: now, engines: known.all.length, perWeight: view.meanPerWeight(known.all, now), totalWeight }
+    const mean = { at: now, engines: known.all.length, perWeight: meanPerWeight(view, known.all, now), totalWeight }
     this.#means.set(known.model, mean)
     return mean
   }
--- a/src/common/placement/LoadView.ts
+++ b/src/common/placement/LoadView.ts
@@ -17,8 +17,19 @@
 export interface ILoadView {
   /** Outstanding work in decode tokens; undefined when no fresh sample is known; UNAVAILABLE when closed. */
   work (endpointHash: number, now: number): number | undefined
-  /** Mean work per unit of weight over the candidates with a fresh sample. */
-  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number
+}
+
+/** Mean work per unit of weight over the candidates that are open and have a fresh sample. */
+export function meanPerWeight (view: ILoadView, candidates: readonly RendezvousCandidate[], now: number): number {
+  let work = 0
+  let weight = 0
+  for (const candidate of candidates) {
+    const known = view.work(candidate.hash, now)
+    if (known === undefined || known === UNAVAILABLE) continue
+    work += known
+    weight += candidate.weight
+  }
+  return weight === 0 ? 0 : work / weight
 }
 
 export class LoadView implements ILoadView {
@@ -40,18 +51,6 @@
     return sample.work
   }
 
-  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number {
-    let work = 0
-    let weight = 0
-    for (const candidate of candidates) {
-      const known = this.work(candidate.hash, now)
-      if (known === undefined || known === UNAVAILABLE) continue
-      work += known
-      weight += candidate.weight
-    }
-    return weight === 0 ? 0 : work / weight
-  }
-
   /** Forgets samples that no longer count, so that departed engines hold no memory. */
   prune (now: number): void {
     for (const [hash, sample] of this.#samples) {
--- a/src/common/placement/Placement.test.ts
+++ b/src/common/placement/Placement.test.ts
@@ -6,7 +6,7 @@
 import { ChatDirectory } from './ChatDirectory.js'
 import { placementOf, type ChatPlacement } from './ChatKey.js'
 import { EndpointLoad, type LoadReport } from './EndpointLoad.js'
-import { LoadView, UNAVAILABLE } from './LoadView.js'
+import { LoadView, meanPerWeight, UNAVAILABLE } from './LoadView.js'
 import { PlacementPolicy, RANKED_ENGINES } from './PlacementPolicy.js'
 
 const engines = Array.from({ length: 8 }, (_, i) => ({ id: `e${i}`, hash: hashString(`e${i}`), weight: 1 }))
@@ -62,7 +62,7 @@
   const choose = (works: readonly number[], held?: number, c = chat('k'), warming = false) => policy.choose(c, {
     ranked: rankTop(c.keyHash, engines, RANKED_ENGINES),
     all: engines,
-    mean: { perWeight: viewOf(works).meanPerWeight(engines, 0), totalWeight: 8 },
+    mean: { perWeight: meanPerWeight(viewOf(works), engines, 0), totalWeight: 8 },
     held: held === undefined ? undefined : { endpoint: engines[held]!.hash, tokens: 180 },
     warming
   }, viewOf(works), 0)
@@ -160,6 +160,21 @@
     expect(load.open(9_400)).toBe(false)
   })
 
+  it('stays closed longer after each failure in a row, and forgets them after a success', () => {
+    const load = new EndpointLoad()
+    let now = 0
+    const closedFor = (): number => {
+      load.heard(report(0), now)
+      load.failed(now)
+      const from = now
+      while (!load.open(now)) load.heard(report(0), now += 50)
+      return now - from
+    }
+    const [first, second] = [closedFor(), closedFor()]
+    load.succeeded()
+    expect([second > first, closedFor() === first]).toEqual([true, true])
+  })
+
   it('knows the part of an account', () => {
     const load = new EndpointLoad()
     load.begin('a', 300, 0)
--- a/src/experiment/Fit.ts
+++ b/src/experiment/Fit.ts
@@ -1,3 +1,5 @@
+const MIN_R2 = 0.5
+
 /** Straight line through measured points by least squares. */
 export interface Line {
   readonly base: number
@@ -18,6 +20,13 @@
   return { base, slope, r2: total === 0 ? 1 : 1 - rest / total }
 }
 
+/** The fitted line where it explains most of the variance, else the mean: noise must not be carried on as a slope. */
+export function fitLineOrMean (xs: readonly number[], ys: readonly number[]): Line {
+  const line = fitLine(xs, ys)
+  if (line.r2 >= MIN_R2) return line
+  return { base: ys.reduce((a, b) => a + b, 0) / ys.length, slope: 0, r2: line.r2 }
+}
+
 /** Value of the line at `x`, never below zero. */
 export function lineAt (line: Line, x: number): number {
   return Math.max(0, line.base + line.slope * x)
--- a/src/experiment/OurFleet.ts
+++ b/src/experiment/OurFleet.ts
@@ -36,11 +36,6 @@
     const load = this.own.get(endpointHash)
     return load === undefined ? this.samples.work(endpointHash, now) : load.work(now)
   }
-
-  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number {
-    const works = candidates.map(c => this.work(c.hash, now)).filter(w => w !== undefined && w !== UNAVAILABLE) as number[]
-    return works.length === 0 ? 0 : works.reduce((a, b) => a + b, 0) / works.length
-  }
 }
 
 export class OurFleet implements IPlacementUnderTest {
--- a/src/experiment/Policies.ts
+++ b/src/experiment/Policies.ts
@@ -57,42 +57,35 @@
   }
 }
 
-export class LeastReported implements IPlacementUnderTest {
-  readonly #world: PolicyWorld
-  readonly #loads: LaggedLoads
+/** Base of the policies that go by reported load. */
+abstract class OnReportedLoad implements IPlacementUnderTest {
+  protected readonly world: PolicyWorld
+  protected readonly loads: LaggedLoads
 
   constructor (world: PolicyWorld) {
-    this.#world = world
-    this.#loads = new LaggedLoads(world)
+    this.world = world
+    this.loads = new LaggedLoads(world)
   }
 
   tick (now: number): void {
-    this.#loads.tick(now)
+    this.loads.tick(now)
   }
 
-  place (): FakeEngine | undefined {
-    return this.#world.engines.present.reduce((a, b) => this.#loads.load(b) < this.#loads.load(a) ? b : a)
-  }
+  abstract place (): FakeEngine | undefined
 }
 
-export class TwoChoices implements IPlacementUnderTest {
-  readonly #world: PolicyWorld
-  readonly #loads: LaggedLoads
-
-  constructor (world: PolicyWorld) {
-    this.#world = world
-    this.#loads = new LaggedLoads(world)
-  }
-
-  tick (now: number): void {
-    this.#loads.tick(now)
+export class LeastReported extends OnReportedLoad {
+  override place (): FakeEngine | undefined {
+    return this.world.engines.present.reduce((a, b) => this.loads.load(b) < this.loads.load(a) ? b : a)
   }
+}
 
-  place (): FakeEngine | undefined {
-    const { engines, random } = this.#world
+export class TwoChoices extends OnReportedLoad {
+  override place (): FakeEngine | undefined {
+    const { engines, random } = this.world
     const any = (): FakeEngine => engines.present[Math.floor(random.next() * engines.present.length)]!
     const [a, b] = [any(), any()]
-    return this.#loads.load(a) <= this.#loads.load(b) ? a : b
+    return this.loads.load(a) <= this.loads.load(b) ? a : b
   }
 }
 
--- a/src/experiment/ProcessExperiments.ts
+++ b/src/experiment/ProcessExperiments.ts
@@ -3,7 +3,7 @@
 import type { VotedFile } from '../common/generated/VotedFile.js'
 import { Site, sleep } from '../tools/Site.js'
 import { cuscoSpec, votedFile } from '../tools/SiteSpec.js'
-import { fitLine, lineAt, type Line } from './Fit.js'
+import { fitLine, fitLineOrMean, lineAt, type Line } from './Fit.js'
 
 const BASE_PORT = 24_000
 const SIZES = [4, 8, 13, 20, 40] as const
@@ -106,7 +106,7 @@
     points,
     bytes: fitLine(xs, points.map(p => p.bytesPerSecPerNode)),
     change: fitLine(xs.map(n => fetchingPart(n, MEASURED_DATA_CENTRES)), points.map(p => p.bytesPerChange)),
-    cpu: fitLine(xs, points.map(p => p.cpuPct)),
+    cpu: fitLineOrMean(xs, points.map(p => p.cpuPct)),
     memory: fitLine(xs, points.map(p => p.controlMb)),
     reads: fitLine(xs, points.map(p => p.platformReadsPerSec))
   }
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -1,20 +1,12 @@
 #!/usr/bin/env node
 /** `radishloft-load`: returning chats and marked calls against running entries; prints one JSON line. */
 import { Command } from 'commander'
-import { LoadRunner } from './LoadRunner.js'
+import { LoadRunner, type LoadPlan } from './LoadRunner.js'
 
-interface Flags {
+interface Flags extends Omit<LoadPlan, 'entries' | 'accounts' | 'pauseMs' | 'promptChars'> {
   readonly entry: readonly string[]
   readonly key: string
   readonly account: string
-  readonly model: string
-  readonly service: string
-  readonly path: string
-  readonly chats: number
-  readonly callers: number
-  readonly seconds: number
-  readonly seed: number
-  readonly answerTokens: number
 }
 
 const program = new Command('radishloft-load')
--- /dev/null
+++ b/src/router/CallerHttp.ts
@@ -0,0 +1,49 @@
+/** Helpers of the HTTP listeners. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { err, ok, type Result } from 'neverthrow'
+import { HEADER, REQUEST_TIMEOUT_MS } from '../common/Constants.js'
+import { ERROR_CODES, errorBody, routeError, type RouteError } from '../common/Errors.js'
+
+const BACKLOG = 4_096
+
+/** Listens; rejects when the address is taken. */
+export async function listen (server: Server, address: string, port: number): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, address, BACKLOG, resolve)
+  })
+}
+
+/** Writes an error in the convention's shape; the connection closes when the request was not read to its end. */
+export function sendError (res: ServerResponse, error: RouteError, requestId?: string): void {
+  if (res.headersSent || res.destroyed) {
+    res.destroy()
+    return
+  }
+  const info = ERROR_CODES[error.code]
+  const text = JSON.stringify(errorBody(error))
+  if (!res.req.complete) res.setHeader('connection', 'close')
+  res.writeHead(info.status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    [HEADER.outcome]: info.outcome,
+    ...(requestId === undefined ? {} : { [HEADER.requestId]: requestId }),
+    ...(error.retryAfterMs === undefined ? {} : { 'retry-after': String(Math.max(1, Math.ceil(error.retryAfterMs / 1000))) })
+  })
+  res.end(text)
+}
+
+/** First value of a header. */
+export function headerOf (req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+/** The caller's timeout, at most `most`; a deadline already past is an error. */
+export function timeoutOf (req: IncomingMessage, most = REQUEST_TIMEOUT_MS): Result<number, RouteError> {
+  const header = headerOf(req, HEADER.deadlineMs)
+  if (header === undefined) return ok(most)
+  const timeout = Number(header)
+  if (!Number.isFinite(timeout)) return err(routeError('invalid_request', 'accept', 'caller', `${HEADER.deadlineMs} must be a number of milliseconds.`))
+  return timeout <= 0 ? err(routeError('deadline_passed', 'accept', 'caller')) : ok(Math.min(most, timeout))
+}
--- a/src/router/CallerServer.ts
+++ b/src/router/CallerServer.ts
@@ -4,12 +4,13 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import { Hono, type Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import { HEADER, REQUEST_TIMEOUT_MS } from '../common/Constants.js'
+import { HEADER } from '../common/Constants.js'
 import type { ClientAccount, VotedConfig } from '../common/config/VotedConfig.js'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { ERROR_CODES, errorBody, routeError, type RouteError } from '../common/Errors.js'
 import { MAX_KEY_LENGTH } from '../common/once/KeyNames.js'
 import type { Allowances } from './Allowances.js'
+import { headerOf, listen, sendError, timeoutOf } from './CallerHttp.js'
 import type { CallerAuth } from './CallerAuth.js'
 import type { ChatEntry } from './ChatEntry.js'
 import type { KeyOwner } from './KeyOwner.js'
@@ -83,10 +84,7 @@
   }
 
   async listen (address: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, address, 4096, resolve)
-    })
+    await listen(this.#server, address, port)
   }
 
   /** Turns unready; requests are still taken, each connection ends after its request. */
@@ -235,40 +233,6 @@
   }
 }
 
-/** Writes an error in the convention's shape; the connection closes when the request was not read to its end. */
-export function sendError (res: ServerResponse, error: RouteError, requestId?: string): void {
-  if (res.headersSent || res.destroyed) {
-    res.destroy()
-    return
-  }
-  const info = ERROR_CODES[error.code]
-  const text = JSON.stringify(errorBody(error))
-  if (!res.req.complete) res.setHeader('connection', 'close')
-  res.writeHead(info.status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-    [HEADER.outcome]: info.outcome,
-    ...(requestId === undefined ? {} : { [HEADER.requestId]: requestId }),
-    ...(error.retryAfterMs === undefined ? {} : { 'retry-after': String(Math.max(1, Math.ceil(error.retryAfterMs / 1000))) })
-  })
-  res.end(text)
-}
-
-/** First value of a header. */
-export function headerOf (req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
-/** The caller's timeout, at most `most`; a deadline already past is an error. */
-export function timeoutOf (req: IncomingMessage, most = REQUEST_TIMEOUT_MS): Result<number, RouteError> {
-  const header = headerOf(req, HEADER.deadlineMs)
-  if (header === undefined) return ok(most)
-  const timeout = Number(header)
-  if (!Number.isFinite(timeout)) return err(routeError('invalid_request', 'accept', 'caller', `${HEADER.deadlineMs} must be a number of milliseconds.`))
-  return timeout <= 0 ? err(routeError('deadline_passed', 'accept', 'caller')) : ok(Math.min(most, timeout))
-}
-
 function passedOn (req: IncomingMessage): Record<string, string> {
   const headers: Record<string, string> = {}
   for (const [name, value] of Object.entries(req.headers)) {
--- a/src/router/Endpoints.ts
+++ b/src/router/Endpoints.ts
@@ -6,8 +6,7 @@
 import { Emitter } from '../common/Emitter.js'
 import type { InstanceDigest } from '../common/generated/PeerDatagram.js'
 import { EndpointLoad } from '../common/placement/EndpointLoad.js'
-import { UNAVAILABLE, type ILoadView } from '../common/placement/LoadView.js'
-import type { RendezvousCandidate } from '../common/Rendezvous.js'
+import type { ILoadView } from '../common/placement/LoadView.js'
 import type { IClock } from '../common/Services.js'
 import { EndpointFeed } from './EndpointFeed.js'
 import type { Fleet } from './Fleet.js'
@@ -107,18 +106,6 @@
     return this.#fleet.loads.work(endpointHash, now)
   }
 
-  meanPerWeight (candidates: readonly RendezvousCandidate[], now: number): number {
-    let work = 0
-    let weight = 0
-    for (const candidate of candidates) {
-      const known = this.work(candidate.hash, now)
-      if (known === undefined || known === UNAVAILABLE) continue
-      work += known
-      weight += candidate.weight
-    }
-    return weight === 0 ? 0 : work / weight
-  }
-
   /** Time since the endpoint started, by its last report. */
   uptimeMs (id: string): number | undefined {
     return this.#held.get(id)?.load.report?.uptimeMs
--- a/src/router/LocalHome.ts
+++ b/src/router/LocalHome.ts
@@ -3,6 +3,7 @@
  * remembers where the prefixes of its chats are, and streams the answers.
  */
 import { Agent } from 'undici'
+import { ENDPOINT_LOAD_TIMEOUT_MS } from '../common/Constants.js'
 import type { EndpointInfo, VotedConfig } from '../common/config/VotedConfig.js'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError } from '../common/Errors.js'
@@ -103,7 +104,7 @@
       return run
     }
     this.#parts.endpoints.load(endpoint).then(load => {
-      if (load.silent(this.#parts.clock.nowMs(), 3_000)) {
+      if (load.silent(this.#parts.clock.nowMs(), ENDPOINT_LOAD_TIMEOUT_MS)) {
         sink.onError(routeError('stream_not_found', 'resume', endpoint.id, 'the endpoint is silent'), true)
         return
       }
@@ -181,6 +182,7 @@
       onReply: reply => sink.onReply(reply),
       onEvents: (bytes, events, done) => {
         load.progress(item, events)
+        if (done) load.succeeded()
         sink.onEvents(bytes, events, done)
       },
       onError: (error, sent) => {
--- a/src/router/PeerServer.ts
+++ b/src/router/PeerServer.ts
@@ -4,6 +4,7 @@
 import { HEADER } from '../common/Constants.js'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { RouteError } from '../common/Errors.js'
+import { headerOf, listen } from './CallerHttp.js'
 import { constantTimeEqual } from './Crypto.js'
 import type { Log } from './Log.js'
 import type { Metrics } from './Metrics.js'
@@ -96,10 +97,7 @@
   }
 
   async listen (address: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(port, address, 4096, resolve)
-    })
+    await listen(this.#server, address, port)
   }
 
   async #handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -182,11 +180,6 @@
   }
 }
 
-function headerOf (req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
 function stopOnClose (res: ServerResponse, run: IChatRun): void {
   res.on('close', () => {
     if (!res.writableEnded) run.stop()
--- a/src/tools/SiteSpec.ts
+++ b/src/tools/SiteSpec.ts
@@ -76,7 +76,7 @@
   }
 }
 
-/** The voted file of a site. @param note makes files differ: the rate of the small tier. */
+/** The voted file of a site. @param smallRate rate of the small tier; another rate makes another file. */
 export function votedFile (spec: SiteSpec, smallRate = 50): VotedFile {
   const names = namesOf(spec)
   const accounts = ['council', 'looms', ...Array.from({ length: 8 }, (_, i) => `atelier-${i + 1}`)]
