--- a/src/experiment/Fit.ts
+++ b/src/experiment/Fit.ts
@@ -1,6 +1,8 @@
+/** Straight lines through measured points by least squares. */
+
 const MIN_R2 = 0.5
 
-/** Straight line through measured points by least squares. */
+/** A fitted line. */
 export interface Line {
   readonly base: number
   readonly slope: number
