--- a/src/common/limits/RetryBudget.ts
+++ b/src/common/limits/RetryBudget.ts
@@ -3,11 +3,20 @@
 const MAX_SAVED_RETRIES = 20 // a quiet node may still retry a small burst
 
 export class RetryBudget {
-  #saved = MAX_SAVED_RETRIES / 2
+  readonly #ratio: number
+  readonly #maxSaved: number
+  #saved: number
+
+  /** @param ratio retries earned by each request; @param maxSaved retries that a quiet node saves up at most. */
+  constructor (ratio = RETRY_RATIO, maxSaved = MAX_SAVED_RETRIES) {
+    this.#ratio = ratio
+    this.#maxSaved = maxSaved
+    this.#saved = maxSaved / 2
+  }
 
   /** Counts a first attempt. */
   request (): void {
-    this.#saved = Math.min(MAX_SAVED_RETRIES, this.#saved + RETRY_RATIO)
+    this.#saved = Math.min(this.#maxSaved, this.#saved + this.#ratio)
   }
 
   /** True when a retry may be made; takes it off the budget. */
--- /dev/null
+++ b/src/common/routing/EndpointTable.ts
@@ -0,0 +1,83 @@
+/**
+ * The endpoints as last listed. A list that misses an endpoint removes it, but not right after the list was out of
+ * reach: entries that lapsed meanwhile are written again by their endpoints a moment later.
+ */
+import { Emitter } from '../Emitter.js'
+import { endpointKey, type Endpoint, type EndpointList } from './Types.js'
+
+const OUTAGE_MS = 2_500 // a list not read for this long may have lost entries of live endpoints
+const RETURN_GRACE_MS = 2_200 // live endpoints are listed again within 2 s of the list's return
+
+/** A change of what is believed of one endpoint. */
+export interface EndpointChange {
+  readonly endpoint: Endpoint
+  readonly kind: 'joined' | 'leaving' | 'gone' | 'changed'
+  /** Age of the list that said so, before this one was read. */
+  readonly sinceListMs: number
+}
+
+export class EndpointTable {
+  #endpoints = new Map<string, Endpoint>()
+  #byService = new Map<string, readonly Endpoint[]>()
+  #listedAt = -Infinity
+  #revision = 0
+  #graceUntil = -Infinity
+  readonly #changed = new Emitter<EndpointChange>()
+
+  /** Fires for each endpoint that joined, left or changed. */
+  readonly onChange = this.#changed.event
+
+  /** When the list was last read; -Infinity before the first. */
+  get listedAt (): number {
+    return this.#listedAt
+  }
+
+  get revision (): number {
+    return this.#revision
+  }
+
+  /** Endpoints of a service that may take new work. */
+  usable (service: string): readonly Endpoint[] {
+    return this.#byService.get(service) ?? []
+  }
+
+  get (id: string): Endpoint | undefined {
+    return this.#endpoints.get(id)
+  }
+
+  /** Takes a complete list in; one that is older than the last is left out. */
+  take (list: EndpointList, now: number): void {
+    if (list.revision < this.#revision) return
+    const sinceListMs = now - this.#listedAt
+    if (sinceListMs > OUTAGE_MS && this.#endpoints.size > 0) this.#graceUntil = now + RETURN_GRACE_MS
+    const next = new Map(list.endpoints.map(e => [e.id, e]))
+    for (const [id, old] of this.#endpoints) {
+      if (next.has(id)) continue
+      if (now < this.#graceUntil && !old.leaving) next.set(id, old)
+      else this.#changed.fire({ endpoint: old, kind: 'gone', sinceListMs })
+    }
+    for (const e of next.values()) this.#compare(e, sinceListMs)
+    this.#endpoints = next
+    this.#byService = groupUsable(next.values())
+    this.#listedAt = now
+    this.#revision = list.revision
+  }
+
+  #compare (e: Endpoint, sinceListMs: number): void {
+    const old = this.#endpoints.get(e.id)
+    if (old === undefined || endpointKey(old) !== endpointKey(e)) this.#changed.fire({ endpoint: e, kind: 'joined', sinceListMs })
+    else if (e.leaving && !old.leaving) this.#changed.fire({ endpoint: e, kind: 'leaving', sinceListMs })
+    else if (old.slots !== e.slots) this.#changed.fire({ endpoint: e, kind: 'changed', sinceListMs })
+  }
+}
+
+function groupUsable (endpoints: Iterable<Endpoint>): Map<string, readonly Endpoint[]> {
+  const groups = new Map<string, Endpoint[]>()
+  for (const e of endpoints) {
+    if (e.leaving) continue
+    const group = groups.get(e.service) ?? []
+    group.push(e)
+    groups.set(e.service, group)
+  }
+  return groups
+}
--- /dev/null
+++ b/src/gateway/EndpointExchange.ts
@@ -0,0 +1,126 @@
+/** One request to one endpoint: knows at each moment whether bytes of it can have arrived there. */
+import { request, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { EndpointAgent } from './EndpointAgent.js'
+import type { HeaderList } from './Types.js'
+
+/** A request ready to go out. */
+export interface ExchangeRequest {
+  readonly address: string
+  readonly port: number
+  readonly method: string
+  readonly target: string
+  readonly headers: HeaderList
+  readonly body: Uint8Array
+  readonly connectTimeoutMs: number
+}
+
+/** Why an exchange ended without a whole answer. */
+export type ExchangeFailure = 'connect' | 'reset' | 'aborted'
+
+/** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
+export interface IExchangeSink {
+  onHead (status: number, headers: HeaderList): void
+  onData (chunk: Buffer): void
+  onEnd (): void
+  /** `sent` is false when no byte of the request can have reached the endpoint. */
+  onError (failure: ExchangeFailure, sent: boolean, detail: string): void
+}
+
+export class EndpointExchange {
+  readonly #req: ClientRequest
+  readonly #sink: IExchangeSink
+  #res: IncomingMessage | undefined
+  #connectTimer: NodeJS.Timeout | undefined
+  #sent = false
+  #over = false
+  #failure: ExchangeFailure = 'connect'
+
+  constructor (agent: EndpointAgent, call: ExchangeRequest, sink: IExchangeSink) {
+    this.#sink = sink
+    const { address: host, port, method, target: path } = call
+    this.#req = request({ agent, host, port, method, path, setHost: false, headers: call.headers as unknown as string[] })
+    this.#req.on('socket', socket => this.#onSocket(socket, call.connectTimeoutMs))
+    this.#req.on('response', res => this.#onResponse(res))
+    this.#req.on('error', e => this.#fail(e.message))
+    this.#req.on('close', () => this.#fail('closed before the answer'))
+    if (call.body.length > 0) this.#req.end(call.body)
+    else this.#req.end()
+  }
+
+  /** True once bytes of the request may have reached the endpoint. */
+  get sent (): boolean {
+    return this.#sent
+  }
+
+  /** True when it went out on a connection that an earlier request had used. */
+  get reused (): boolean {
+    return this.#req.reusedSocket
+  }
+
+  /** Ends the exchange and its connection. */
+  abort (): void {
+    if (this.#over) return
+    this.#failure = 'aborted'
+    this.#fail('aborted')
+  }
+
+  pause (): void {
+    this.#res?.pause()
+  }
+
+  resume (): void {
+    this.#res?.resume()
+  }
+
+  #onSocket (socket: Socket, connectTimeoutMs: number): void {
+    if (this.#over) {
+      socket.destroy()
+      return
+    }
+    if (!socket.connecting) {
+      this.#markSent()
+      return
+    }
+    this.#connectTimer = setTimeout(() => this.#fail(`no connection within ${connectTimeoutMs} ms`), connectTimeoutMs)
+    socket.once('connect', () => this.#markSent())
+  }
+
+  #markSent (): void {
+    clearTimeout(this.#connectTimer)
+    if (this.#over) return
+    this.#sent = true
+    this.#failure = 'reset'
+  }
+
+  #onResponse (res: IncomingMessage): void {
+    if (this.#over) {
+      res.destroy()
+      return
+    }
+    this.#res = res
+    res.on('data', (chunk: Buffer) => { if (!this.#over) this.#sink.onData(chunk) })
+    res.on('error', e => this.#fail(e.message))
+    res.on('aborted', () => this.#fail('answer broke off'))
+    res.on('end', () => this.#end(res))
+    this.#sink.onHead(res.statusCode ?? 0, res.rawHeaders)
+  }
+
+  #end (res: IncomingMessage): void {
+    if (this.#over) return
+    if (!res.complete) {
+      this.#fail('answer broke off')
+      return
+    }
+    this.#over = true
+    this.#sink.onEnd()
+  }
+
+  #fail (detail: string): void {
+    if (this.#over) return
+    this.#over = true
+    clearTimeout(this.#connectTimer)
+    this.#sink.onError(this.#failure, this.#sent, detail)
+    this.#req.destroy()
+  }
+}
--- /dev/null
+++ b/src/gateway/EndpointPool.ts
@@ -0,0 +1,73 @@
+/** Owns what this instance knows of each endpoint and its connections; follows the list of endpoints. */
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
+import { EndpointState } from '../common/routing/EndpointState.js'
+import { EndpointTable } from '../common/routing/EndpointTable.js'
+import { endpointKey, type Endpoint, type EndpointList } from '../common/routing/Types.js'
+import type { IClock } from '../common/Services.js'
+import type { Log } from '../router/Log.js'
+import { EndpointAgent } from './EndpointAgent.js'
+
+/** An endpoint that can be sent to. */
+export class PooledEndpoint extends EndpointState {
+  readonly agent = new EndpointAgent()
+}
+
+export class EndpointPool extends Disposable {
+  readonly table = new EndpointTable()
+  readonly #clock: IClock
+  readonly #log: Log
+  readonly #states = new Map<string, PooledEndpoint>()
+
+  constructor (clock: IClock, log: Log) {
+    super()
+    this.#clock = clock
+    this.#log = log
+    this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
+    this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
+      if (kind === 'gone') this.#forget(endpoint)
+      this.#log.info({ step: 'endpoints', endpoint: endpoint.id, service: endpoint.service, dataCentre: endpoint.dataCentre, kind, sinceListMs: Math.round(sinceListMs) }, 'endpoint')
+    }))
+  }
+
+  /** Age of the list in ms; Infinity before the first. */
+  get listAgeMs (): number {
+    return this.#clock.nowMs() - this.table.listedAt
+  }
+
+  take (list: EndpointList): void {
+    this.table.take(list, this.#clock.nowMs())
+  }
+
+  /** Endpoints of a service that may take new work, but those in `tried`. */
+  candidates (service: string, tried: ReadonlySet<string>): PooledEndpoint[] {
+    return this.table.usable(service).filter(e => !tried.has(e.id)).map(e => this.#state(e))
+  }
+
+  /** Takes the outcome of a request at an endpoint in. */
+  note (state: PooledEndpoint, outcome: EndpointOutcome, requestId: string): void {
+    const now = this.#clock.nowMs()
+    const others = this.table.usable(state.endpoint.service).filter(e => e.id !== state.endpoint.id).map(e => this.#state(e).health.failureShare)
+    const othersShare = others.length === 0 ? 0 : others.reduce((a, b) => a + b, 0) / others.length
+    if (outcome === 'unreachable' || outcome === 'silent') state.agent.dropIdle()
+    if (!state.health.note(outcome, othersShare, now)) return
+    const { failureShare, closedUntil } = state.health
+    this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, outcome, failureShare, othersShare, closedMs: Math.round(closedUntil - now) }, 'endpoint closed to new work')
+  }
+
+  #state (e: Endpoint): PooledEndpoint {
+    const key = endpointKey(e)
+    let state = this.#states.get(key)
+    if (state === undefined) {
+      state = new PooledEndpoint(e)
+      this.#states.set(key, state)
+    }
+    return state
+  }
+
+  /** Requests in flight keep their connection; idle ones go. */
+  #forget (e: Endpoint): void {
+    this.#states.get(endpointKey(e))?.agent.dropIdle()
+    this.#states.delete(endpointKey(e))
+  }
+}
--- /dev/null
+++ b/src/gateway/FrontServer.ts
@@ -0,0 +1,149 @@
+/** Listener for callers: finds the route and the account of each request, reads its body and runs it. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { err, ok, type Result } from 'neverthrow'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+import { routeError, type RouteError } from '../common/Errors.js'
+import type { RouteTable } from '../common/routing/RouteTable.js'
+import { sessionHash } from '../common/routing/PromptPlacement.js'
+import type { Account, CallerLimits, Route } from '../common/routing/Types.js'
+import { hashString } from '../common/Hash.js'
+import { listen } from '../router/CallerHttp.js'
+import type { Log } from '../router/Log.js'
+import { readBody } from '../router/RequestBody.js'
+import { CallerReply } from './CallerReply.js'
+import type { ConfigHolder } from './ConfigHolder.js'
+import { RequestRun, type RunServices } from './RequestRun.js'
+import type { RoutedRequest } from './Types.js'
+
+const PARSER_HEADER_BYTES = 65_536 // the configured limit is checked on what was parsed
+const TIMEOUT_CHECK_MS = 1_000
+const UNCONFIRMED_MS = 3_000 // an older view must not tell a caller that its route or key doesn't exist
+const RETRY_SOON_MS = 300
+
+/** A request that the configuration allows. */
+interface Admitted {
+  readonly request: RoutedRequest
+  readonly route: Route
+  readonly account: Account | undefined
+  readonly table: RouteTable
+}
+
+/** Collaborators of the listener. */
+export interface FrontServices extends RunServices {
+  readonly config: ConfigHolder
+  readonly systemLog: Log
+}
+
+export class FrontServer extends Disposable {
+  readonly #services: FrontServices
+  readonly #server: Server
+  #active = 0
+  #stopping = false
+  #refuseStreams = false
+
+  constructor (services: FrontServices) {
+    super()
+    this.#services = services
+    this.#server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0 })
+    this.#server.on('request', (req, res) => { void this.#serve(req, res) })
+    this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => this.#onClientError(e, socket))
+    this.own(services.config.onChange(table => this.#applyLimits(table.config.limits)))
+    this.own(toDisposable(() => {
+      this.#server.close()
+      this.#server.closeAllConnections()
+    }))
+  }
+
+  /** Requests accepted and not yet ended. */
+  get active (): number {
+    return this.#active
+  }
+
+  async listen (address: string, port: number): Promise<void> {
+    await listen(this.#server, address, port)
+  }
+
+  /** From now on callers are told to use another connection next. */
+  drain (): void {
+    this.#stopping = true
+  }
+
+  /** From now on streams are refused: the rest of the stop is too short for one. */
+  refuseStreams (): void {
+    this.#refuseStreams = true
+  }
+
+  closeIdle (): void {
+    this.#server.closeIdleConnections()
+  }
+
+  async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const startedAt = this.#services.clock.nowMs()
+    const reply = new CallerReply(req, res, () => this.#stopping)
+    this.#count(1)
+    res.once('close', () => this.#count(-1))
+    const decoded = this.#services.codec.decode({ method: req.method ?? '', target: req.url ?? '', headers: req.rawHeaders })
+    const admitted = decoded.andThen(request => this.#admit(request, req))
+    if (admitted.isErr()) {
+      this.#refuse(reply, decoded.unwrapOr(undefined), admitted.error)
+      return
+    }
+    const { request, route, account, table } = admitted.value
+    const body = await readBody(req, table.config.limits.maxBodyBytes)
+    if (body.isErr()) {
+      this.#refuse(reply, request, body.error)
+      return
+    }
+    const service = table.serviceFor(route, request.prompt === undefined ? hashString(request.id) : sessionHash(request.prompt))
+    await new RequestRun(this.#services, { request, route, service, account, configRevision: table.config.revision, body: body.value, startedAt }, reply).run()
+  }
+
+  #admit (request: RoutedRequest, req: IncomingMessage): Result<Admitted, RouteError> {
+    const table = this.#services.config.table
+    if (table === undefined) return err(routeError('not_ready', 'accept', 'caller', '', RETRY_SOON_MS))
+    const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+    if (headerBytes > table.config.limits.maxHeaderBytes) return err(routeError('headers_too_large', 'accept', 'caller'))
+    const found = table.route(request.host, request.path)
+    if (found.isNothing) return err(this.#unknown('route_not_found'))
+    const route = found.value
+    if (this.#refuseStreams && route.streaming) return err(routeError('stopping', 'admit', 'caller', '', RETRY_SOON_MS))
+    if (table.config.accounts === undefined || route.open) return ok({ request, route, account: undefined, table })
+    const account = table.account(request.apiKey ?? '')
+    return account.isNothing ? err(this.#unknown('invalid_api_key')) : ok({ request, route, account: account.value, table })
+  }
+
+  /** What the configuration doesn't name may be in one that this instance hasn't read yet. */
+  #unknown (code: 'route_not_found' | 'invalid_api_key'): RouteError {
+    const { ageMs, revision } = this.#services.config
+    const detail = `configuration ${revision}, confirmed ${Math.round(ageMs)} ms ago`
+    return ageMs > UNCONFIRMED_MS ? routeError('stale_configuration', 'admit', 'caller', detail, RETRY_SOON_MS) : routeError(code, 'admit', 'caller', detail)
+  }
+
+  #refuse (reply: CallerReply, request: RoutedRequest | undefined, error: RouteError): void {
+    const { codec, metrics, systemLog } = this.#services
+    reply.refuse(error, codec.refusal(request, error.retryAfterMs))
+    metrics.requests.inc({ kind: 'refused', status: String(reply.status), code: error.code })
+    systemLog.info({ step: error.step, requestId: request?.id ?? '', host: request?.host, path: request?.path, code: error.code, detail: error.detail, status: reply.status }, 'refused')
+  }
+
+  #onClientError (e: NodeJS.ErrnoException, socket: Duplex): void {
+    this.#services.systemLog.debug({ step: 'accept', err: e.code ?? e.message }, 'bad request bytes')
+    if (!socket.writable || e.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const status = e.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : e.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  }
+
+  #applyLimits (limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerTimeoutMs
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs
+  }
+
+  #count (change: number): void {
+    this.#active += change
+    this.#services.metrics.inFlight.set(this.#active)
+  }
+}
--- /dev/null
+++ b/src/gateway/Gateway.ts
@@ -0,0 +1,137 @@
+/** Composition root of a gateway: builds its tasks, starts them, and stops without cutting a request. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Disposable } from '../common/Disposable.js'
+import { RetryBudget } from '../common/limits/RetryBudget.js'
+import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
+import type { IClock } from '../common/Services.js'
+import type { Log } from '../router/Log.js'
+import { ConfigHolder } from './ConfigHolder.js'
+import { EndpointPool } from './EndpointPool.js'
+import { FrontServer } from './FrontServer.js'
+import { GatewayMetrics } from './GatewayMetrics.js'
+import { RequestLog } from './RequestLog.js'
+import { StatusServer } from './StatusServer.js'
+import type { IRequestCodec } from './Types.js'
+
+const STOP_POLL_MS = 50
+const IDLE_CLOSE_MS = 3_000 // by then the balancer sends no new connections
+const MIN_STOP_MS = 4_000
+const LONGEST_STREAM_MS = 3_500
+const STOP_MARGIN_MS = 500
+const SAVED_RETRIES_PART = 0.05 // of the burst that all instances share
+const RETRY_RATIO_PART = 0.7 // of the shared ratio; the rest is a margin for windows that differ
+
+/** An address to listen on. */
+export interface ListenAddress {
+  readonly address: string
+  readonly port: number
+}
+
+/** Settings of a gateway. */
+export interface GatewaySettings {
+  readonly id: string
+  readonly dataCentre: string
+  readonly callers: ListenAddress
+  readonly readiness: ListenAddress
+  readonly readinessPath: string
+  readonly metrics: ListenAddress
+  readonly metricsPath: string
+  /** Time between the order to stop and the end of the process. */
+  readonly graceMs: number
+  /** Repeated sends to a service, as a part of the requests for it, over all instances. */
+  readonly retryRatio: number
+  /** Repeated sends to a service above that part, over all instances. */
+  readonly retryBurst: number
+}
+
+export class Gateway extends Disposable {
+  readonly #settings: GatewaySettings
+  readonly #clock: IClock
+  readonly #log: Log
+  readonly #config: ConfigHolder
+  readonly #pool: EndpointPool
+  readonly #front: FrontServer
+  readonly #status: StatusServer[]
+  readonly #budgets = new Map<string, RetryBudget>()
+  #stopping = false
+
+  constructor (settings: GatewaySettings, clock: IClock, codec: IRequestCodec, metrics: GatewayMetrics, log: Log) {
+    super()
+    this.#settings = settings
+    this.#clock = clock
+    this.#log = log
+    this.#config = this.own(new ConfigHolder(clock))
+    this.#pool = this.own(new EndpointPool(clock, log))
+    this.own(this.#config.onChange(table => {
+      const { revision, routes, services, accounts } = table.config
+      log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
+      metrics.configRevision.set(revision)
+    }))
+    const services = {
+      clock, codec, metrics, pool: this.#pool, config: this.#config, dataCentre: settings.dataCentre, systemLog: log,
+      log: new RequestLog(log, clock), budget: (service: string) => this.#budget(service)
+    }
+    this.#front = this.own(new FrontServer(services))
+    const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
+    this.#status = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
+  }
+
+  /** True when callers should be sent here. */
+  get ready (): boolean {
+    return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity
+  }
+
+  get config (): ConfigHolder {
+    return this.#config
+  }
+
+  /** Takes a configuration in from the platform or a peer. */
+  offerConfig (config: RoutingConfig): void {
+    this.#config.offer(config)
+  }
+
+  /** The platform answers and has no newer configuration than `revision`. */
+  confirmConfig (): void {
+    this.#config.confirm()
+  }
+
+  offerEndpoints (list: EndpointList): void {
+    this.#pool.take(list)
+  }
+
+  async start (): Promise<void> {
+    const { callers, readiness, metrics } = this.#settings
+    await this.#front.listen(callers.address, callers.port)
+    await this.#status[0]!.listen(readiness.address, readiness.port)
+    await this.#status[1]!.listen(metrics.address, metrics.port)
+    this.#log.info({ step: 'start', callers: `${callers.address}:${callers.port}` }, 'listening')
+  }
+
+  /** Graceful stop: unready at once, serves what still comes, refuses late what it couldn't finish. */
+  async stop (): Promise<void> {
+    const startedAt = this.#clock.nowMs()
+    const elapsed = (): number => this.#clock.nowMs() - startedAt
+    const { graceMs } = this.#settings
+    this.#stopping = true
+    this.#front.drain()
+    this.#log.info({ step: 'stop', inFlight: this.#front.active, graceMs }, 'stopping')
+    await sleep(Math.min(IDLE_CLOSE_MS, graceMs / 2))
+    while (elapsed() < graceMs - STOP_MARGIN_MS) {
+      this.#front.closeIdle()
+      if (elapsed() > graceMs - LONGEST_STREAM_MS) this.#front.refuseStreams()
+      if (elapsed() > MIN_STOP_MS && this.#front.active === 0) break
+      await sleep(STOP_POLL_MS)
+    }
+    this.#log.info({ step: 'stop', cut: this.#front.active, afterMs: Math.round(elapsed()) }, 'stopped')
+    this.dispose()
+  }
+
+  #budget (service: string): RetryBudget {
+    let budget = this.#budgets.get(service)
+    if (budget === undefined) {
+      budget = new RetryBudget(this.#settings.retryRatio * RETRY_RATIO_PART, Math.max(1, this.#settings.retryBurst * SAVED_RETRIES_PART))
+      this.#budgets.set(service, budget)
+    }
+    return budget
+  }
+}
--- /dev/null
+++ b/src/gateway/GatewayMetrics.ts
@@ -0,0 +1,25 @@
+/** Prometheus metrics of a gateway. The deep imports leave out prom-client's default metrics, which cost 9 MB. */
+import Counter from 'prom-client/lib/counter.js'
+import Gauge from 'prom-client/lib/gauge.js'
+import Histogram from 'prom-client/lib/histogram.js'
+import Registry from 'prom-client/lib/registry.js'
+
+const LATENCY_BUCKETS_SEC = [0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 0.8, 1.5, 3, 6, 15]
+
+export class GatewayMetrics {
+  readonly registry = new Registry()
+  readonly requests = new Counter({
+    name: 'radishloft_requests_total', help: 'Requests by route kind, status and error code.', labelNames: ['kind', 'status', 'code'], registers: [this.registry]
+  })
+
+  readonly latency = new Histogram({
+    name: 'radishloft_request_seconds', help: 'Time to the end of the answer, by kind of route.', labelNames: ['kind'], buckets: LATENCY_BUCKETS_SEC, registers: [this.registry]
+  })
+
+  readonly attempts = new Counter({ name: 'radishloft_attempts_total', help: 'Attempts at endpoints by result.', labelNames: ['service', 'result'], registers: [this.registry] })
+  readonly placements = new Counter({ name: 'radishloft_placements_total', help: 'Placements by reason.', labelNames: ['reason'], registers: [this.registry] })
+  readonly platformCalls = new Counter({ name: 'radishloft_platform_calls_total', help: 'Calls to the platform by kind and result.', labelNames: ['kind', 'result'], registers: [this.registry] })
+  readonly inFlight = new Gauge({ name: 'radishloft_in_flight_requests', help: 'Requests accepted from callers and not yet ended.', registers: [this.registry] })
+  readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
+  readonly listAge = new Gauge({ name: 'radishloft_endpoint_list_age_seconds', help: 'Age of the list of endpoints.', registers: [this.registry] })
+}
--- /dev/null
+++ b/src/gateway/HttpCall.ts
@@ -0,0 +1,54 @@
+/** A small call whose whole answer is read, with one time limit for all of it. */
+import { err, ok, type Result } from 'neverthrow'
+import type { EndpointAgent } from './EndpointAgent.js'
+import { EndpointExchange } from './EndpointExchange.js'
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number
+  readonly body: Buffer
+}
+
+/** Why a call gave no answer. */
+export interface CallError {
+  readonly step: 'connect' | 'read'
+  readonly peer: string
+  readonly reason: string
+}
+
+/** Where a call goes. */
+export interface CallTarget {
+  readonly agent: EndpointAgent
+  readonly address: string
+  readonly port: number
+}
+
+const CONNECT_TIMEOUT_MS = 500
+
+/** Reads `target` with GET; a call that takes longer than `timeoutMs` is aborted with its connection. */
+export async function getWhole (to: CallTarget, target: string, timeoutMs: number): Promise<Result<HttpAnswer, CallError>> {
+  const { agent, address, port } = to
+  const peer = `${address}:${port}`
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let status = 0
+    let timedOut = false
+    const call = { address, port, method: 'GET', target, headers: ['Host', peer], body: Buffer.alloc(0), connectTimeoutMs: CONNECT_TIMEOUT_MS }
+    const exchange = new EndpointExchange(agent, call, {
+      onHead (code) { status = code },
+      onData (chunk) { chunks.push(chunk) },
+      onEnd () {
+        clearTimeout(timer)
+        resolve(ok({ status, body: Buffer.concat(chunks) }))
+      },
+      onError (_failure, sent, detail) {
+        clearTimeout(timer)
+        resolve(err({ step: sent ? 'read' : 'connect', peer, reason: timedOut ? `no answer within ${timeoutMs} ms` : detail }))
+      }
+    })
+    const timer = setTimeout(() => {
+      timedOut = true
+      exchange.abort()
+    }, timeoutMs)
+  })
+}
--- /dev/null
+++ b/src/gateway/promClientParts.d.ts
@@ -0,0 +1,13 @@
+/** Types of the parts of prom-client that are imported one by one. */
+declare module 'prom-client/lib/counter.js' {
+  export { Counter as default } from 'prom-client'
+}
+declare module 'prom-client/lib/gauge.js' {
+  export { Gauge as default } from 'prom-client'
+}
+declare module 'prom-client/lib/histogram.js' {
+  export { Histogram as default } from 'prom-client'
+}
+declare module 'prom-client/lib/registry.js' {
+  export { Registry as default } from 'prom-client'
+}
--- /dev/null
+++ b/src/platform/Settings.ts
@@ -0,0 +1,89 @@
+/** Reads the settings file that the platform writes: all its fields as JSON, by the template in deploy/. */
+import { readFileSync } from 'node:fs'
+import { err, ok, type Result } from 'neverthrow'
+import type { GatewaySettings, ListenAddress } from '../gateway/Gateway.js'
+
+/** Settings of a process on the platform. */
+export interface PlatformSettings {
+  readonly gateway: GatewaySettings
+  readonly store: ListenAddress
+  /** Longest time in which news of a leaving endpoint must be acted on. */
+  readonly drainMs: number
+}
+
+/** A settings file that can't be used. */
+export interface SettingsError {
+  readonly step: 'settings'
+  readonly peer: string
+  readonly reason: string
+}
+
+const READINESS_PATH = '/v1/readyz'
+const METRICS_PATH = '/metrics'
+const METRICS_PORT = 9464
+const DEFAULT_GRACE_SEC = 8
+const DEFAULT_DRAIN_MS = 2_000
+const DEFAULT_RETRY_RATIO = 0.2
+const DEFAULT_RETRY_BURST = 20
+
+/** Fields that are read; the platform may add others. */
+interface SettingsFile {
+  readonly node_name: string
+  readonly ip: string
+  readonly zone: string
+  readonly listen: { readonly frontend: string, readonly readiness: string }
+  readonly platform: { readonly address: string }
+  readonly bounds?: Readonly<Record<string, number | boolean | undefined>>
+}
+
+function addressOf (text: string): ListenAddress {
+  const at = text.lastIndexOf(':')
+  return { address: text.slice(0, at), port: Number(text.slice(at + 1)) }
+}
+
+function boundOf (file: SettingsFile, name: string, otherwise: number): number {
+  const value = file.bounds?.[name]
+  return typeof value === 'number' && value >= 0 ? value : otherwise
+}
+
+function missingField (file: Partial<SettingsFile>): string | undefined {
+  const texts: Record<string, unknown> = {
+    node_name: file.node_name, ip: file.ip, zone: file.zone, 'listen.frontend': file.listen?.frontend, 'listen.readiness': file.listen?.readiness, 'platform.address': file.platform?.address
+  }
+  return Object.keys(texts).find(name => typeof texts[name] !== 'string')
+}
+
+/** Translates the file's text. */
+export function parseSettings (text: string, path: string): Result<PlatformSettings, SettingsError> {
+  const fail = (reason: string): Result<PlatformSettings, SettingsError> => err({ step: 'settings', peer: path, reason })
+  let file: SettingsFile
+  try {
+    file = JSON.parse(text) as SettingsFile
+  } catch (e) {
+    return fail(`not JSON: ${(e as Error).message}`)
+  }
+  const missing = missingField(file)
+  if (missing !== undefined) return fail(`${missing} must be a text`)
+  const gateway: GatewaySettings = {
+    id: file.node_name,
+    dataCentre: file.zone,
+    callers: addressOf(file.listen.frontend),
+    readiness: addressOf(file.listen.readiness),
+    readinessPath: READINESS_PATH,
+    metrics: { address: file.ip, port: METRICS_PORT },
+    metricsPath: METRICS_PATH,
+    graceMs: boundOf(file, 'grace_s', DEFAULT_GRACE_SEC) * 1_000,
+    retryRatio: boundOf(file, 'retry_budget_ratio', DEFAULT_RETRY_RATIO),
+    retryBurst: boundOf(file, 'retry_burst', DEFAULT_RETRY_BURST)
+  }
+  return ok({ gateway, store: addressOf(file.platform.address), drainMs: boundOf(file, 'drain_ms', DEFAULT_DRAIN_MS) })
+}
+
+/** Reads and translates the file. */
+export function loadSettings (path: string): Result<PlatformSettings, SettingsError> {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'), path)
+  } catch (e) {
+    return err({ step: 'settings', peer: path, reason: (e as NodeJS.ErrnoException).code ?? String(e) })
+  }
+}
--- /dev/null
+++ b/src/platform/StoreClient.ts
@@ -0,0 +1,133 @@
+/** The one client of the platform's store. It only reads: one key, all keys under a prefix, or what changes under it. */
+import { err, ok, type Result } from 'neverthrow'
+import { EndpointAgent } from '../gateway/EndpointAgent.js'
+import type { GatewayMetrics } from '../gateway/GatewayMetrics.js'
+import { getWhole } from '../gateway/HttpCall.js'
+
+const READ_TIMEOUT_MS = 1_500
+const WATCH_MARGIN_MS = 700 // beyond the wait that was asked for
+const MAX_PAGES = 100
+
+/** Kinds of failed reads that readers treat apart. */
+export type StoreErrorKind = 'unreachable' | 'refused' | 'not-found' | 'history-gone' | 'malformed'
+
+/** Why a read gave nothing. */
+export interface StoreError {
+  readonly step: 'store'
+  readonly peer: string
+  readonly kind: StoreErrorKind
+  readonly reason: string
+}
+
+/** One key with its value, decoded. */
+export interface StoreItem {
+  readonly key: string
+  readonly value: Buffer
+}
+
+/** Items as of about the store's revision `at`. */
+export interface StoreRead {
+  readonly items: readonly StoreItem[]
+  readonly at: number
+}
+
+interface WireItem {
+  readonly key?: unknown
+  readonly value?: unknown
+  readonly deleted?: unknown
+}
+
+/** Fields of the store's answers; `at` is the store's revision. */
+interface WireAnswer extends WireItem {
+  readonly items?: readonly WireItem[]
+  readonly events?: readonly WireItem[]
+  readonly has_more?: boolean
+  readonly at?: unknown
+}
+
+type CallKind = 'key' | 'range' | 'watch'
+
+function itemOf (wire: WireItem): StoreItem | undefined {
+  if (typeof wire.key !== 'string' || typeof wire.value !== 'string') return undefined
+  return { key: wire.key, value: Buffer.from(wire.value, 'base64') }
+}
+
+function itemsOf (wire: readonly WireItem[] | undefined): StoreItem[] {
+  return (wire ?? []).map(itemOf).filter(item => item !== undefined)
+}
+
+function kindOf (status: number): StoreErrorKind {
+  if (status === 404) return 'not-found'
+  return status === 410 ? 'history-gone' : 'refused'
+}
+
+export class StoreClient {
+  readonly #address: string
+  readonly #port: number
+  readonly #metrics: GatewayMetrics
+  readonly #agents: Readonly<Record<CallKind, EndpointAgent>> = { key: new EndpointAgent(), range: new EndpointAgent(), watch: new EndpointAgent() }
+
+  constructor (address: string, port: number, metrics: GatewayMetrics) {
+    this.#address = address
+    this.#port = port
+    this.#metrics = metrics
+  }
+
+  /** Reads one key. */
+  async key (key: string): Promise<Result<StoreRead, StoreError>> {
+    const answer = await this.#get('key', `/v1/kv-key?key=${encodeURIComponent(key)}`, READ_TIMEOUT_MS)
+    return answer.map(body => ({ items: itemsOf([body]), at: Number(body.at) }))
+  }
+
+  /** Reads all keys under a prefix, page by page; `at` is the revision of the first page. */
+  async range (prefix: string): Promise<Result<StoreRead, StoreError>> {
+    const items: StoreItem[] = []
+    let at = Infinity
+    let after = ''
+    for (let page = 0; page < MAX_PAGES; page++) {
+      const query = `path_prefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`
+      const answer = await this.#get('range', `/v1/kv-range?${query}`, READ_TIMEOUT_MS)
+      if (answer.isErr()) return err(answer.error)
+      const found = itemsOf(answer.value.items)
+      items.push(...found)
+      at = Math.min(at, Number(answer.value.at))
+      const last = answer.value.items?.[answer.value.items.length - 1]?.key
+      if (answer.value.has_more !== true || typeof last !== 'string') return ok({ items, at })
+      after = last
+    }
+    return err(this.#error('malformed', `more than ${MAX_PAGES} pages`))
+  }
+
+  /** Waits for changes after a revision; an empty read means that there were none. Deletions are left out. */
+  async watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>> {
+    const query = `path_prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`
+    const answer = await this.#get('watch', `/v1/kv-watch?${query}`, waitMs + WATCH_MARGIN_MS)
+    return answer.map(body => ({ items: itemsOf(body.events), at: Number(body.at) }))
+  }
+
+  close (): void {
+    Object.values(this.#agents).forEach(agent => agent.destroy())
+  }
+
+  async #get (kind: CallKind, target: string, timeoutMs: number): Promise<Result<WireAnswer, StoreError>> {
+    const answer = await getWhole({ agent: this.#agents[kind], address: this.#address, port: this.#port }, target, timeoutMs)
+    const result = answer
+      .mapErr(e => this.#error('unreachable', `${e.step}: ${e.reason}`))
+      .andThen(({ status, body }) => status === 200 ? this.#parse(body) : err(this.#error(kindOf(status), `status ${status}`)))
+    this.#metrics.platformCalls.inc({ kind, result: result.isOk() ? 'ok' : result.error.kind })
+    return result
+  }
+
+  #parse (body: Buffer): Result<WireAnswer, StoreError> {
+    try {
+      const answer = JSON.parse(body.toString('utf8')) as WireAnswer
+      return Number.isFinite(Number(answer.at)) ? ok(answer) : err(this.#error('malformed', 'no revision'))
+    } catch (e) {
+      return err(this.#error('malformed', (e as Error).message))
+    }
+  }
+
+  #error (kind: StoreErrorKind, reason: string): StoreError {
+    return { step: 'store', peer: `${this.#address}:${this.#port}`, kind, reason }
+  }
+}
--- /dev/null
+++ b/src/platform/StoreReaders.ts
@@ -0,0 +1,125 @@
+/** Tasks that read the store: one waits for a new configuration, one reads the list of endpoints at an interval. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
+import { Disposable } from '../common/Disposable.js'
+import type { IRandom } from '../common/Services.js'
+import type { Log } from '../router/Log.js'
+import { CONFIG_KEY, configOf, ENDPOINT_PREFIX, endpointOf } from './Records.js'
+import type { StoreClient, StoreError, StoreItem, StoreRead } from './StoreClient.js'
+
+const WATCH_WAIT_MS = 2_200 // a connection that went silent is noticed within this time
+const RETRY_MIN_MS = 150
+const RETRY_MAX_MS = 1_200
+
+/** Receiver of what was read. */
+export interface IStoreReceiver {
+  offerConfig (config: RoutingConfig): void
+  /** Nothing newer was published than what was offered before. */
+  confirmConfig (): void
+  offerEndpoints (list: EndpointList): void
+}
+
+/** Common part: backs off after failures and logs each loss and return of the store once. */
+abstract class StoreReader extends Disposable {
+  protected readonly store: StoreClient
+  protected readonly log: Log
+  readonly #random: IRandom
+  readonly #name: string
+  #failures = 0
+  #lostAt = 0
+
+  constructor (name: string, store: StoreClient, random: IRandom, log: Log) {
+    super()
+    this.#name = name
+    this.store = store
+    this.#random = random
+    this.log = log
+  }
+
+  /** Reads until disposed. */
+  async run (): Promise<void> {
+    while (!this.isDisposed) {
+      const waitMs = await this.step()
+      if (waitMs > 0) await sleep(waitMs, undefined, { ref: false })
+    }
+  }
+
+  /** One read; returns the time to the next. */
+  protected abstract step (): Promise<number>
+
+  protected succeeded (): void {
+    if (this.#failures > 0) this.log.info({ step: 'store', reader: this.#name, failures: this.#failures, lostMs: Math.round(performance.now() - this.#lostAt) }, 'store regained')
+    this.#failures = 0
+  }
+
+  /** Returns the time to wait before the next try. */
+  protected failed (e: StoreError): number {
+    if (this.#failures === 0) {
+      this.#lostAt = performance.now()
+      this.log.warn({ step: e.step, reader: this.#name, peer: e.peer, kind: e.kind, reason: e.reason }, 'store lost')
+    }
+    const most = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** this.#failures++)
+    return most * (0.5 + this.#random.next() / 2)
+  }
+}
+
+/** Waits for configurations. */
+export class ConfigReader extends StoreReader {
+  readonly #receiver: IStoreReceiver
+  #after: number | undefined
+
+  constructor (store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver) {
+    super('config', store, random, log)
+    this.#receiver = receiver
+  }
+
+  protected override async step (): Promise<number> {
+    const read = this.#after === undefined ? await this.store.key(CONFIG_KEY) : await this.store.watch(CONFIG_KEY, this.#after, WATCH_WAIT_MS)
+    if (read.isErr()) {
+      if (read.error.kind === 'history-gone' || read.error.kind === 'malformed') this.#after = undefined
+      return this.failed(read.error)
+    }
+    this.succeeded()
+    this.#take(read.value)
+    return 0
+  }
+
+  #take (read: StoreRead): void {
+    this.#after = read.at
+    for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
+      const config = configOf(item)
+      if (config === undefined) this.log.error({ step: 'config', bytes: item.value.length }, 'unreadable configuration')
+      else this.#receiver.offerConfig(config)
+    }
+    this.#receiver.confirmConfig()
+  }
+}
+
+/** Reads the list of endpoints. A watch would wake at each endpoint's heartbeat; a whole read a second costs less. */
+export class EndpointReader extends StoreReader {
+  readonly #receiver: IStoreReceiver
+  readonly #intervalMs: number
+  #malformed = ''
+
+  constructor (store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver, intervalMs: number) {
+    super('endpoints', store, random, log)
+    this.#receiver = receiver
+    this.#intervalMs = intervalMs
+  }
+
+  protected override async step (): Promise<number> {
+    const read = await this.store.range(ENDPOINT_PREFIX)
+    if (read.isErr()) return this.failed(read.error)
+    this.succeeded()
+    const malformed = read.value.items.filter(item => endpointOf(item) === undefined)
+    this.#noteMalformed(malformed)
+    this.#receiver.offerEndpoints({ revision: read.value.at, endpoints: read.value.items.map(endpointOf).filter(e => e !== undefined) })
+    return this.#intervalMs
+  }
+
+  #noteMalformed (items: readonly StoreItem[]): void {
+    const keys = items.map(i => i.key).join(' ')
+    if (keys !== this.#malformed && keys !== '') this.log.warn({ step: 'endpoints', keys }, 'malformed entries left out')
+    this.#malformed = keys
+  }
+}
--- /dev/null
+++ b/src/platform/WireNames.ts
@@ -0,0 +1,28 @@
+/** Header and path names of the platform. Nothing outside this folder knows them. */
+
+export const WIRE = {
+  requestId: 'Attempt-Id',
+  patience: 'Deadline-Ms',
+  promptParts: 'Prefix-Hash', // names the parts themselves with their sizes, not a hash of the prompt
+  tokenCounts: 'Token-Count',
+  account: 'Tenant',
+  endpointId: 'Expect-Instance',
+  priority: 'Request-Priority',
+  signature: 'Server-Signature',
+  notRun: 'Not-Executed',
+  load: 'Server-Load',
+  lastEventId: 'Last-Event-Id',
+  retryAfter: 'Retry-After',
+  authorization: 'Authorization'
+} as const
+
+/** Headers that only this system may set; a caller's own are dropped. */
+export const OWN_HEADERS: ReadonlySet<string> = new Set([
+  WIRE.authorization, WIRE.account, WIRE.endpointId, WIRE.priority, WIRE.patience,
+  'Expect-Version', 'Kv-From', 'Kv-Fetch', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load'
+].map(name => name.toLowerCase()))
+
+/** Headers that concern one connection only. */
+export const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length'
+])
