See a reset right behind an answer without a length

Ruled out: the parser, a delayed reset (tested, was seen). Change: at the end of such a connection the peer's address is asked for; the kernel has lost it after a reset. Test fails before.

--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -99,6 +99,7 @@
       return
     }
     this.#res = res
+    if (endsWithConnection(res)) res.socket.prependListener('end', () => this.#onConnectionEnd(res.socket))
     res.on('data', (chunk: Buffer) => { if (!this.#over) this.#sink.onData(chunk) })
     res.on('error', e => this.#fail(e.message))
     res.on('aborted', () => this.#fail('answer broke off'))
@@ -106,6 +107,11 @@
     this.#sink.onHead(res.statusCode ?? 0, res.rawHeaders)
   }
 
+  /** A reset right behind the last bytes shows as an orderly end, but such a socket has lost its peer's address. */
+  #onConnectionEnd (socket: Socket): void {
+    if (socket.remoteAddress === undefined) this.#fail('connection reset')
+  }
+
   #end (res: IncomingMessage): void {
     if (this.#over) return
     if (!res.complete) {
@@ -124,3 +130,8 @@
     this.#req.destroy()
   }
 }
+
+/** True for an answer without a length, whose end is that of its connection. */
+function endsWithConnection (res: IncomingMessage): boolean {
+  return res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
+}
