--- a/src/common/routing/EndpointHealth.ts
+++ b/src/common/routing/EndpointHealth.ts
@@ -49,6 +49,11 @@
     return this.#samples >= MIN_SAMPLES && this.#failureShare > othersShare + EXCESS_FAILURES && this.#close(now)
   }
 
+  /** Takes new work again: its data centre can be reached. */
+  reopen (): void {
+    this.#closedUntil = -Infinity
+  }
+
   #close (now: number): boolean {
     const closeMs = Math.min(MAX_CLOSE_MS, FIRST_CLOSE_MS * 2 ** this.#closings)
     this.#closings++
--- a/src/common/routing/PromptPlacement.ts
+++ b/src/common/routing/PromptPlacement.ts
@@ -9,6 +9,7 @@
 import type { Prompt } from './Types.js'
 
 const LOAD_BOUND = 1.5 // multiple of the mean load up to which a session's own engine takes it
+const NEAR_TOKENS = 1_000 // shared tokens up to which a prompt is read once more in each data centre, so that a cut spares its stream
 const LOAD_SLACK = 3 // requests above that bound; small loads vary by as much by chance
 
 /** Why an endpoint was chosen. */
@@ -28,10 +29,23 @@
   return hashString(shared?.id ?? '')
 }
 
+/** Tokens of the prompt that others share. */
+function sharedTokens (prompt: Prompt): number {
+  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
+}
+
+/** Engines to choose from: those of the caller's data centre for a prompt that costs little to read there once more. */
+function eligible (prompt: Prompt, dataCentre: string, open: readonly EndpointState[]): readonly EndpointState[] {
+  if (sharedTokens(prompt) > NEAR_TOKENS) return open
+  const near = open.filter(c => c.endpoint.dataCentre === dataCentre)
+  return near.length > 0 ? near : open
+}
+
 /** Chooses among `candidates`, none of which the request was sent to before; undefined when there are none. */
-export function placePrompt (prompt: Prompt, candidates: readonly EndpointState[], now: number): Choice | undefined {
-  const open = candidates.filter(c => c.health.open(now))
-  if (open.length === 0) return soonestOpen(candidates, now)
+export function placePrompt (prompt: Prompt, dataCentre: string, candidates: readonly EndpointState[], now: number): Choice | undefined {
+  const usable = candidates.filter(c => c.health.open(now))
+  if (usable.length === 0) return soonestOpen(candidates, now)
+  const open = eligible(prompt, dataCentre, usable)
   const ranked = rankTop(sessionHash(prompt), open, open.length)
   const loads = new Map(open.map(c => [c, c.load(now)]))
   const mean = [...loads.values()].reduce((sum, load) => sum + load, 0) / open.length
--- a/src/gateway/EndpointAgent.ts
+++ b/src/gateway/EndpointAgent.ts
@@ -10,8 +10,15 @@
 const KEEP_ALIVE_PROBE_MS = 1_000
 const MAX_IDLE = 16
 
+/** What is kept of an idle connection. */
+interface Idle {
+  readonly since: number
+  /** Closes the connection when bytes come that no request asked for. */
+  readonly guard: () => void
+}
+
 export class EndpointAgent extends Agent {
-  readonly #guards = new WeakMap<Duplex, () => void>()
+  readonly #idle = new WeakMap<Duplex, Idle>()
   #distrustedUntil = -Infinity
 
   constructor () {
@@ -24,23 +31,28 @@
     this.dropIdle()
   }
 
-  /** Closes idle connections, for instance because one of them turned out to be dead. */
-  dropIdle (): void {
-    for (const sockets of Object.values(this.freeSockets)) [...sockets ?? []].forEach(s => s.destroy())
+  /** Closes connections that have been idle for longer than `longerThanMs`: whether they still lead anywhere isn't known. */
+  dropIdle (longerThanMs = 0): void {
+    const before = performance.now() - longerThanMs
+    for (const sockets of Object.values(this.freeSockets)) {
+      for (const socket of [...sockets ?? []]) {
+        if ((this.#idle.get(socket)?.since ?? -Infinity) <= before) socket.destroy()
+      }
+    }
   }
 
   /** Decides whether a connection outlives its request. */
   override keepSocketAlive (socket: Duplex): boolean {
     if (performance.now() < this.#distrustedUntil || !super.keepSocketAlive(socket)) return false
     const guard = (): void => { socket.destroy() }
-    this.#guards.set(socket, guard)
+    this.#idle.set(socket, { since: performance.now(), guard })
     socket.on('data', guard)
     return true
   }
 
   override reuseSocket (socket: Duplex, req: ClientRequest): void {
-    const guard = this.#guards.get(socket)
-    if (guard !== undefined) socket.removeListener('data', guard)
+    const idle = this.#idle.get(socket)
+    if (idle !== undefined) socket.removeListener('data', idle.guard)
     ;(socket as Socket).setTimeout(0)
     super.reuseSocket(socket, req)
   }
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,5 +1,6 @@
 /** Owns what this instance knows of each endpoint and its connections; follows the list of endpoints. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
+import { DataCentreReach } from '../common/routing/DataCentreReach.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { EndpointState } from '../common/routing/EndpointState.js'
 import { EndpointTable } from '../common/routing/EndpointTable.js'
@@ -18,6 +19,7 @@
   readonly #clock: IClock
   readonly #log: Log
   readonly #states = new Map<string, PooledEndpoint>()
+  readonly #reach = new DataCentreReach()
 
   constructor (clock: IClock, log: Log) {
     super()
@@ -39,9 +41,12 @@
     this.table.take(list, this.#clock.nowMs())
   }
 
-  /** Endpoints of a service that may take new work, but those in `tried`. */
+  /** Endpoints of a service that may take new work, but those in `tried`; those out of reach only when there is no other. */
   candidates (service: string, tried: ReadonlySet<string>): PooledEndpoint[] {
-    return this.table.usable(service).filter(e => !tried.has(e.id)).map(e => this.#state(e))
+    const now = this.#clock.nowMs()
+    const all = this.table.usable(service).filter(e => !tried.has(e.id)).map(e => this.#state(e))
+    const reachable = all.filter(s => !this.#reach.closed(s.endpoint.dataCentre, now))
+    return reachable.length > 0 ? reachable : all
   }
 
   /** Takes the outcome of a request at an endpoint in. */
@@ -49,12 +54,26 @@
     const now = this.#clock.nowMs()
     const others = this.table.usable(state.endpoint.service).filter(e => e.id !== state.endpoint.id).map(e => this.#state(e).health.failureShare)
     const othersShare = others.length === 0 ? 0 : others.reduce((a, b) => a + b, 0) / others.length
+    this.#noteReach(state.endpoint, outcome, requestId, now)
     if (outcome === 'unreachable' || outcome === 'silent') state.agent.dropIdle()
     if (!state.health.note(outcome, othersShare, now)) return
     const { failureShare, closedUntil } = state.health
     this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, outcome, failureShare, othersShare, closedMs: Math.round(closedUntil - now) }, 'endpoint closed to new work')
   }
 
+  /** What fails alike at several endpoints of a data centre is the way there. */
+  #noteReach (e: Endpoint, outcome: EndpointOutcome, requestId: string, now: number): void {
+    if (outcome !== 'unreachable') {
+      if (outcome !== 'silent') this.#reach.reached(e.dataCentre)
+      return
+    }
+    if (!this.#reach.failed(e.dataCentre, e.id, now)) return
+    for (const state of this.#states.values()) {
+      if (state.endpoint.dataCentre === e.dataCentre) state.agent.dropIdle()
+    }
+    this.#log.info({ step: 'endpoints', dataCentre: e.dataCentre, endpoint: e.id, requestId }, 'data centre out of reach')
+  }
+
   #state (e: Endpoint): PooledEndpoint {
     const key = endpointKey(e)
     let state = this.#states.get(key)
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -14,8 +14,9 @@
 import type { AttemptLine, RequestLog } from './RequestLog.js'
 import type { IRequestCodec, RoutedRequest } from './Types.js'
 
-const CONNECT_TIMEOUT_MS = 250 // far above a round trip between data centres; nothing is lost by trying elsewhere
+const CONNECT_TIMEOUT_MS = 150 // far above a round trip between data centres; nothing is lost by trying elsewhere
 const MAX_CONNECT_FAILURES = 4
+const PROVEN_MS = 500 // a connection idle for longer may lead nowhere; work that runs once isn't risked on it
 const ANSWER_SILENCE_GOALS = 3 // multiples of the latency goal after which a repeatable call is tried elsewhere
 const STREAM_SILENCE_MS = 900 // a resumable stream goes on elsewhere before its caller loses patience
 const DEADLINE_MARGIN_MS = 60 // the endpoint's own word on the deadline goes before this instance's
@@ -103,7 +104,7 @@
     const { request, service } = this.#run
     const candidates = pool.candidates(service, this.#tried)
     const now = clock.nowMs()
-    const choice = request.prompt === undefined ? placeCall(request.id, dataCentre, candidates, now) : placePrompt(request.prompt, candidates, now)
+    const choice = request.prompt === undefined ? placeCall(request.id, dataCentre, candidates, now) : placePrompt(request.prompt, dataCentre, candidates, now)
     if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
     return choice
   }
@@ -124,6 +125,7 @@
       lastEventId: this.#events?.lastId
     })
     const framed = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
+    if (!this.#repeatable) state.agent.dropIdle(PROVEN_MS)
     const call = { address, port, method: request.method, target: request.target, headers: framed, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
     const attempt = new Attempt(state.agent, call, this.#reply, {
       streaming: route.streaming,
