Share the view of the platform and stated loads between gateways

Change: membership, one reader for each data centre and topic, news by datagrams, changed parts fetched from the peer that told.

--- a/src/common/routing/EndpointState.ts
+++ b/src/common/routing/EndpointState.ts
@@ -2,9 +2,10 @@
 import { hashString } from '../Hash.js'
 import type { RendezvousCandidate } from '../Rendezvous.js'
 import { EndpointHealth } from './EndpointHealth.js'
-import type { Endpoint, StatedLoad } from './Types.js'
+import type { Endpoint } from './Types.js'
 
-const STATED_LOAD_FRESH_MS = 3_000
+const STATED_FRESH_MS = 1_500 // a statement counts in full this long
+const STATED_FADE_MS = 4_000 // and not at all after this
 
 export class EndpointState implements RendezvousCandidate {
   readonly endpoint: Endpoint
@@ -13,7 +14,7 @@
   readonly health = new EndpointHealth()
   /** Requests of this instance in flight. */
   inFlight = 0
-  #stated: StatedLoad | undefined
+  #statedRequests = 0
   #statedAt = -Infinity
   #ownWhenStated = 0
 
@@ -22,19 +23,28 @@
     this.hash = hashString(endpoint.id)
   }
 
-  /** Takes in the load that an answer stated. */
-  stated (load: StatedLoad, now: number): void {
-    this.#stated = load
-    this.#statedAt = now
+  /** Requests at the endpoint as last stated. */
+  get statedRequests (): number {
+    return this.#statedRequests
+  }
+
+  /** When that was stated; -Infinity when never. */
+  get statedAt (): number {
+    return this.#statedAt
+  }
+
+  /** Takes in how many requests run and wait at the endpoint, as it stated at `at` to this instance or to another. */
+  stated (requests: number, at: number): void {
+    if (at <= this.#statedAt) return
+    this.#statedRequests = requests
+    this.#statedAt = at
     this.#ownWhenStated = this.inFlight
   }
 
   /** Requests believed to be at the endpoint from all instances. Old statements fade out. */
   load (now: number): number {
-    if (this.#stated === undefined) return this.inFlight
-    const age = now - this.#statedAt
-    if (age > STATED_LOAD_FRESH_MS) return this.inFlight
-    const others = Math.max(0, this.#stated.running + this.#stated.waiting - this.#ownWhenStated)
-    return others * (1 - age / STATED_LOAD_FRESH_MS) + this.inFlight
+    const fade = Math.min(1, Math.max(0, (STATED_FADE_MS - (now - this.#statedAt)) / (STATED_FADE_MS - STATED_FRESH_MS)))
+    const others = Math.max(0, this.#statedRequests - this.#ownWhenStated)
+    return others * fade + this.inFlight
   }
 }
--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -3,6 +3,7 @@
  * reach: entries that lapsed meanwhile are written again by their endpoints a moment later.
  */
 import { Emitter } from '../Emitter.js'
+import { digestOfSet } from '../Hash.js'
 import { endpointKey, type Endpoint, type EndpointList } from './Types.js'
 
 const OUTAGE_MS = 2_500 // a list not read for this long may have lost entries of live endpoints
@@ -21,6 +22,7 @@
   #byService = new Map<string, readonly Endpoint[]>()
   #listedAt = -Infinity
   #revision = 0
+  #digest = 0
   #graceUntil = -Infinity
   readonly #changed = new Emitter<EndpointChange>()
 
@@ -36,6 +38,16 @@
     return this.#revision
   }
 
+  /** Digest of what the list says; equal digests mean equal lists. */
+  get digest (): number {
+    return this.#digest
+  }
+
+  /** The list as last read. */
+  get list (): EndpointList {
+    return { revision: this.#revision, endpoints: [...this.#endpoints.values()] }
+  }
+
   /** Endpoints of a service that may take new work. */
   usable (service: string): readonly Endpoint[] {
     return this.#byService.get(service) ?? []
@@ -45,10 +57,16 @@
     return this.#endpoints.get(id)
   }
 
-  /** Takes a complete list in; one that is older than the last is left out. */
-  take (list: EndpointList, now: number): void {
+  /** The same endpoints are listed at a later revision, as read at `listedAt`. */
+  confirm (revision: number, listedAt: number): void {
+    this.#revision = Math.max(this.#revision, revision)
+    this.#listedAt = Math.max(this.#listedAt, listedAt)
+  }
+
+  /** Takes a complete list in that was read at `listedAt`; one that is older than the last is left out. */
+  take (list: EndpointList, listedAt: number, now: number): void {
     if (list.revision < this.#revision) return
-    const sinceListMs = now - this.#listedAt
+    const sinceListMs = listedAt - this.#listedAt
     if (sinceListMs > OUTAGE_MS && this.#endpoints.size > 0) this.#graceUntil = now + RETURN_GRACE_MS
     const next = new Map(list.endpoints.map(e => [e.id, e]))
     for (const [id, old] of this.#endpoints) {
@@ -59,7 +77,8 @@
     for (const e of next.values()) this.#compare(e, sinceListMs)
     this.#endpoints = next
     this.#byService = groupUsable(next.values())
-    this.#listedAt = now
+    this.#digest = digestOfSet([...next.values()].map(e => `${endpointKey(e)} ${e.leaving ? 'leaving' : ''}`))
+    this.#listedAt = listedAt
     this.#revision = list.revision
   }
 
--- a/src/gateway/ConfigHolder.ts
+++ b/src/gateway/ConfigHolder.ts
@@ -33,9 +33,9 @@
     return this.#clock.nowMs() - this.#confirmedAt
   }
 
-  /** The source answers and has nothing newer. */
-  confirm (): void {
-    this.#confirmedAt = this.#clock.nowMs()
+  /** There was nothing newer `ageMs` ago. */
+  confirm (ageMs = 0): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, this.#clock.nowMs() - ageMs)
   }
 
   /** Takes a configuration in unless a newer one is in force. */
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,5 +1,6 @@
 /** Owns what this instance knows of each endpoint and its connections; follows the list of endpoints. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
+import type { ToldLoad } from '../common/generated/PeerDatagram.js'
 import { DataCentreReach } from '../common/routing/DataCentreReach.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { EndpointState } from '../common/routing/EndpointState.js'
@@ -9,6 +10,9 @@
 import type { Log } from '../router/Log.js'
 import { EndpointAgent } from './EndpointAgent.js'
 
+const TOLD_FRESH_MS = 1_500
+const MAX_TOLD = 48 // keeps a datagram under 1,200 bytes
+
 /** An endpoint that can be sent to. */
 export class PooledEndpoint extends EndpointState {
   readonly agent = new EndpointAgent()
@@ -37,8 +41,24 @@
     return this.#clock.nowMs() - this.table.listedAt
   }
 
-  take (list: EndpointList): void {
-    this.table.take(list, this.#clock.nowMs())
+  /** @param ageMs time since the list was read. */
+  take (list: EndpointList, ageMs: number): void {
+    const now = this.#clock.nowMs()
+    this.table.take(list, now - ageMs, now)
+  }
+
+  /** Loads that endpoints stated a short while ago, the newest first. */
+  freshLoads (): ToldLoad[] {
+    const now = this.#clock.nowMs()
+    const fresh = [...this.#states.values()].filter(s => now - s.statedAt < TOLD_FRESH_MS).sort((a, b) => b.statedAt - a.statedAt)
+    return fresh.slice(0, MAX_TOLD).map(s => ({ endpoint: s.hash, requests: s.statedRequests, ageMs: Math.round(now - s.statedAt) }))
+  }
+
+  /** Takes in loads that endpoints stated to other instances. */
+  told (loads: readonly ToldLoad[]): void {
+    const now = this.#clock.nowMs()
+    const byHash = new Map([...this.#states.values()].map(s => [s.hash, s]))
+    for (const load of loads) byHash.get(load.endpoint)?.stated(load.requests, now - load.ageMs)
   }
 
   /** Endpoints of a service that may take new work, but those in `tried`; those out of reach only when there is no other. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -2,13 +2,17 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Disposable } from '../common/Disposable.js'
 import { RetryBudget } from '../common/limits/RetryBudget.js'
+import type { ViewAge } from '../common/peers/News.js'
+import { readWaitMs } from '../common/peers/ReadDuty.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
-import type { IClock } from '../common/Services.js'
+import type { IClock, IRandom } from '../common/Services.js'
 import type { Log } from '../router/Log.js'
 import { ConfigHolder } from './ConfigHolder.js'
 import { EndpointPool } from './EndpointPool.js'
 import { FrontServer } from './FrontServer.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
+import { PeerParts } from './PeerParts.js'
+import { PeerTask, unitOf } from './PeerTask.js'
 import { RequestLog } from './RequestLog.js'
 import { StatusServer } from './StatusServer.js'
 import type { IRequestCodec } from './Types.js'
@@ -34,6 +38,10 @@
   readonly callers: ListenAddress
   readonly readiness: ListenAddress
   readonly readinessPath: string
+  /** UDP and TCP port of the talk between gateways, the same on all of them; the address is that of `metrics`. */
+  readonly peerPort: number
+  /** Addresses at which peers may be found at the start. */
+  readonly seeds: readonly string[]
   readonly metrics: ListenAddress
   readonly metricsPath: string
   /** Time between the order to stop and the end of the process. */
@@ -52,10 +60,12 @@
   readonly #pool: EndpointPool
   readonly #front: FrontServer
   readonly #status: StatusServer[]
+  readonly #peers: PeerTask
+  readonly #parts: PeerParts
   readonly #budgets = new Map<string, RetryBudget>()
   #stopping = false
 
-  constructor (settings: GatewaySettings, clock: IClock, codec: IRequestCodec, metrics: GatewayMetrics, log: Log) {
+  constructor (settings: GatewaySettings, clock: IClock, random: IRandom, codec: IRequestCodec, metrics: GatewayMetrics, log: Log) {
     super()
     this.#settings = settings
     this.#clock = clock
@@ -73,6 +83,10 @@
     }
     this.#front = this.own(new FrontServer(services))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
+    const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
+    this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, this.#peerHost()))
+    this.#parts = this.own(new PeerParts(this.#partSource(), log))
+    this.own(this.#config.onChange(() => this.#peers.announce()))
     this.#status = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
 
@@ -81,26 +95,40 @@
     return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity
   }
 
-  get config (): ConfigHolder {
-    return this.#config
-  }
-
-  /** Takes a configuration in from the platform or a peer. */
+  /** Takes a configuration in from the platform. */
   offerConfig (config: RoutingConfig): void {
     this.#config.offer(config)
   }
 
-  /** The platform answers and has no newer configuration than `revision`. */
+  /** The platform has no newer configuration than what was offered. */
   confirmConfig (): void {
     this.#config.confirm()
   }
 
+  /** Takes the list of endpoints in, just read from the platform. */
   offerEndpoints (list: EndpointList): void {
-    this.#pool.take(list)
+    this.#takeEndpoints(list, 0)
+  }
+
+  /** True when this gateway waits for configurations on behalf of its data centre. */
+  get readsConfig (): boolean {
+    return this.#peers.reads('config')
+  }
+
+  /** Time until this gateway should ask the platform for the configuration, given what peers told. */
+  configWaitMs (intervalMs: number): number {
+    return readWaitMs(false, this.#config.ageMs, intervalMs, unitOf(this.#settings.id))
+  }
+
+  /** Time until this gateway should read the list of endpoints, given what peers told. */
+  listWaitMs (intervalMs: number): number {
+    return readWaitMs(this.#peers.reads('endpoints'), this.#pool.listAgeMs, intervalMs, unitOf(this.#settings.id))
   }
 
   async start (): Promise<void> {
-    const { callers, readiness, metrics } = this.#settings
+    const { callers, readiness, metrics, peerPort, seeds } = this.#settings
+    await this.#parts.listen(metrics.address, peerPort)
+    await this.#peers.start(seeds)
     await this.#front.listen(callers.address, callers.port)
     await this.#status[0]!.listen(readiness.address, readiness.port)
     await this.#status[1]!.listen(metrics.address, metrics.port)
@@ -113,6 +141,7 @@
     const elapsed = (): number => this.#clock.nowMs() - startedAt
     const { graceMs } = this.#settings
     this.#stopping = true
+    this.#peers.leave()
     this.#front.drain()
     this.#log.info({ step: 'stop', inFlight: this.#front.active, graceMs }, 'stopping')
     await sleep(Math.min(IDLE_CLOSE_MS, graceMs / 2))
@@ -126,6 +155,39 @@
     this.dispose()
   }
 
+  #takeEndpoints (list: EndpointList, ageMs: number): void {
+    const before = this.#pool.table.digest
+    this.#pool.take(list, ageMs)
+    if (this.#pool.table.digest !== before) this.#peers.announce()
+  }
+
+  #viewAge (): ViewAge {
+    const { revision: listRevision, digest: listDigest } = this.#pool.table
+    return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listRevision, listDigest, listAgeMs: this.#pool.listAgeMs }
+  }
+
+  #peerHost (): ConstructorParameters<typeof PeerTask>[5] {
+    return {
+      viewAge: () => this.#viewAge(),
+      freshLoads: () => this.#pool.freshLoads(),
+      told: loads => this.#pool.told(loads),
+      confirmConfig: ageMs => this.#config.confirm(ageMs),
+      confirmList: (revision, ageMs) => this.#pool.table.confirm(revision, this.#clock.nowMs() - ageMs),
+      fetch: (part, from, ageMs) => { void this.#parts.fetch(part, from, ageMs) }
+    }
+  }
+
+  #partSource (): ConstructorParameters<typeof PeerParts>[0] {
+    const config = this.#config
+    const { table } = this.#pool
+    return {
+      get config () { return config.table?.config },
+      get endpoints () { return table.list },
+      takeConfig: value => this.#config.offer(value),
+      takeEndpoints: (list, ageMs) => this.#takeEndpoints(list, ageMs)
+    }
+  }
+
   #budget (service: string): RetryBudget {
     let budget = this.#budgets.get(service)
     if (budget === undefined) {
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -19,7 +19,16 @@
   readonly attempts = new Counter({ name: 'radishloft_attempts_total', help: 'Attempts at endpoints by result.', labelNames: ['service', 'result'], registers: [this.registry] })
   readonly placements = new Counter({ name: 'radishloft_placements_total', help: 'Placements by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly platformCalls = new Counter({ name: 'radishloft_platform_calls_total', help: 'Calls to the platform by kind and result.', labelNames: ['kind', 'result'], registers: [this.registry] })
+  readonly controlBytes = new Counter({
+    name: 'radishloft_control_bytes_total', help: 'Bytes between instances that carry no request.', labelNames: ['direction', 'kind'], registers: [this.registry]
+  })
+
   readonly inFlight = new Gauge({ name: 'radishloft_in_flight_requests', help: 'Requests accepted from callers and not yet ended.', registers: [this.registry] })
   readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
   readonly listAge = new Gauge({ name: 'radishloft_endpoint_list_age_seconds', help: 'Age of the list of endpoints.', registers: [this.registry] })
+
+  /** Counts control traffic. */
+  control (direction: 'sent' | 'received', kind: string, bytes: number): void {
+    this.controlBytes.inc({ direction, kind }, bytes)
+  }
 }
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -138,7 +138,7 @@
     const result = await attempt.result
     state.inFlight--
     const load = attempt.head?.load
-    if (load !== undefined) state.stated(load, clock.nowMs())
+    if (load !== undefined) state.stated(load.running + load.waiting, clock.nowMs())
     const detail = 'detail' in result ? { detail: result.detail } : {}
     this.#lines.push({ endpoint: id, reason: choice.reason, load: Math.round(choice.load * 10) / 10, result: result.kind, ...detail, ms: Math.round(clock.nowMs() - startedAt) })
     metrics.attempts.inc({ service, result: result.kind })
--- a/src/platform/Settings.ts
+++ b/src/platform/Settings.ts
@@ -21,6 +21,7 @@
 const READINESS_PATH = '/v1/readyz'
 const METRICS_PATH = '/metrics'
 const METRICS_PORT = 9464
+const DEFAULT_PEER_PORT = 7_340
 const DEFAULT_GRACE_SEC = 8
 const DEFAULT_DRAIN_MS = 2_000
 const DEFAULT_RETRY_RATIO = 0.2
@@ -31,6 +32,10 @@
   readonly node_name: string
   readonly ip: string
   readonly zone: string
+  /** First and last port that are free for talk between instances. */
+  readonly port_range?: readonly number[]
+  /** Addresses of at most three instances, with a port that isn't used here. */
+  readonly seeds?: readonly string[]
   readonly listen: { readonly frontend: string, readonly readiness: string }
   readonly platform: { readonly address: string }
   readonly bounds?: Readonly<Record<string, number | boolean | undefined>>
@@ -70,6 +75,8 @@
     callers: addressOf(file.listen.frontend),
     readiness: addressOf(file.listen.readiness),
     readinessPath: READINESS_PATH,
+    peerPort: file.port_range?.[0] ?? DEFAULT_PEER_PORT,
+    seeds: (file.seeds ?? []).map(seed => addressOf(seed).address).filter(ip => ip !== file.ip),
     metrics: { address: file.ip, port: METRICS_PORT },
     metricsPath: METRICS_PATH,
     graceMs: boundOf(file, 'grace_s', DEFAULT_GRACE_SEC) * 1_000,
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -7,12 +7,20 @@
 import { CONFIG_KEY, configOf, ENDPOINT_PREFIX, endpointOf } from './Records.js'
 import type { StoreClient, StoreError, StoreItem, StoreRead } from './StoreClient.js'
 
-const WATCH_WAIT_MS = 2_200 // a connection that went silent is noticed within this time
+const WATCH_WAIT_MS = 1_500 // a connection that went silent is noticed soon after
+const CONFIG_FALLBACK_MS = 1_600 // without word from a peer
+const POLL_MS = 100 // how often it is asked whether a read is due
 const RETRY_MIN_MS = 150
 const RETRY_MAX_MS = 1_200
 
-/** Receiver of what was read. */
+/** Receiver of what was read, which knows what peers have read. */
 export interface IStoreReceiver {
+  /** True when this instance waits for configurations on behalf of others. */
+  readonly readsConfig: boolean
+  /** Time until the configuration should be asked for, when this instance doesn't wait for it all the time. */
+  configWaitMs (intervalMs: number): number
+  /** Time until the list should be read again. */
+  listWaitMs (intervalMs: number): number
   offerConfig (config: RoutingConfig): void
   /** Nothing newer was published than what was offered before. */
   confirmConfig (): void
@@ -74,6 +82,11 @@
   }
 
   protected override async step (): Promise<number> {
+    if (!this.#receiver.readsConfig) {
+      const waitMs = this.#receiver.configWaitMs(CONFIG_FALLBACK_MS)
+      if (waitMs > 0) return Math.min(POLL_MS, waitMs)
+      this.#after = undefined
+    }
     const read = this.#after === undefined ? await this.store.key(CONFIG_KEY) : await this.store.watch(CONFIG_KEY, this.#after, WATCH_WAIT_MS)
     if (read.isErr()) {
       if (read.error.kind === 'history-gone' || read.error.kind === 'malformed') this.#after = undefined
@@ -108,13 +121,15 @@
   }
 
   protected override async step (): Promise<number> {
+    const waitMs = this.#receiver.listWaitMs(this.#intervalMs)
+    if (waitMs > 0) return Math.min(POLL_MS, waitMs)
     const read = await this.store.range(ENDPOINT_PREFIX)
     if (read.isErr()) return this.failed(read.error)
     this.succeeded()
     const malformed = read.value.items.filter(item => endpointOf(item) === undefined)
     this.#noteMalformed(malformed)
     this.#receiver.offerEndpoints({ revision: read.value.at, endpoints: read.value.items.map(endpointOf).filter(e => e !== undefined) })
-    return this.#intervalMs
+    return 0
   }
 
   #noteMalformed (items: readonly StoreItem[]): void {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -18,7 +18,7 @@
   const log = createLog({ id: own.id, dataCentre: own.dataCentre, logLevel: 'info' })
   const random = new SeededRandom((process.pid * 2654435761 ^ Date.now()) | 0)
   const metrics = new GatewayMetrics()
-  const gateway = new Gateway(own, new SystemClock(), new RequestCodec(), metrics, log)
+  const gateway = new Gateway(own, new SystemClock(), random, new RequestCodec(), metrics, log)
   const store = new StoreClient(at.address, at.port, metrics)
   const readers = [new ConfigReader(store, random, log, gateway), new EndpointReader(store, random, log, gateway, drainMs * LIST_INTERVAL_PART)]
   let stopping = false
--- a/src/router/DatagramCodec.ts
+++ b/src/router/DatagramCodec.ts
@@ -2,11 +2,11 @@
 import { timingSafeEqual } from 'node:crypto'
 import { Packr } from 'msgpackr'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
+import type { AllowanceDatagram, InstanceDigest, MemberRumour, NewsDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
 import { checkPeerDatagram, formatErrors } from '../common/Schema.js'
 import { hmac } from './Crypto.js'
 
-const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant'] as const
+const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news'] as const
 const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
 const MAC_BYTES = 12
 
@@ -33,9 +33,24 @@
     case 'take':
     case 'grant':
       return [kind, datagram.seq, datagram.id, datagram.account, datagram.count]
+    case 'news':
+      return newsRow(kind, datagram)
   }
 }
 
+function newsRow (kind: number, d: NewsDatagram): Row {
+  const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs])
+  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads]
+}
+
+function newsOf (row: Row): NewsDatagram {
+  const [, id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, flat] = row
+  const numbers = flat as readonly number[]
+  const loads = []
+  for (let i = 0; i + 2 < numbers.length; i += 3) loads.push({ endpoint: numbers[i]!, requests: numbers[i + 1]!, ageMs: numbers[i + 2]! })
+  return { kind: 'news', id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, loads } as NewsDatagram
+}
+
 function digestOf (row: Row): InstanceDigest {
   const flat = row[5] as readonly number[]
   const loads = []
@@ -49,6 +64,7 @@
 
 function fromRow (row: Row): PeerDatagram {
   const kind = KINDS[row[0] as number]
+  if (kind === 'news') return newsOf(row)
   if (kind === 'ownPing' || kind === 'ownAck') return { kind, seq: row[1], id: row[2], listDigest: row[3] } as OwnershipDatagram
   if (kind === 'take' || kind === 'grant') return { kind, seq: row[1], id: row[2], account: row[3], count: row[4] } as AllowanceDatagram
   return { kind, seq: row[1], target: row[2], from: digestOf(row[3] as Row), rumours: (row[4] as readonly Row[]).map(rumourOf) } as ProbeDatagram
--- a/src/router/PeerSocket.ts
+++ b/src/router/PeerSocket.ts
@@ -5,8 +5,16 @@
 import type { PeerDatagram } from '../common/generated/PeerDatagram.js'
 import type { InstanceAddress } from '../common/Types.js'
 import type { DatagramCodec } from './DatagramCodec.js'
-import type { LinkFilter } from './LinkFilter.js'
-import type { Metrics } from './Metrics.js'
+
+/** Decides which links pass; a test cuts some. */
+export interface ILinkFilter {
+  passes (peer: string): boolean
+}
+
+/** Counts control traffic. */
+export interface IControlCounter {
+  control (direction: 'sent' | 'received', kind: string, bytes: number): void
+}
 
 function senderOf (datagram: PeerDatagram): string {
   return 'from' in datagram ? datagram.from.id : datagram.id
@@ -15,14 +23,14 @@
 export class PeerSocket extends Disposable {
   readonly #socket: Socket
   readonly #codec: DatagramCodec
-  readonly #links: LinkFilter
-  readonly #metrics: Metrics
+  readonly #links: ILinkFilter
+  readonly #metrics: IControlCounter
   readonly #received = this.own(new Emitter<PeerDatagram>())
 
   /** Fires for each datagram that a peer signed. */
   readonly onDatagram = this.#received.event
 
-  constructor (codec: DatagramCodec, links: LinkFilter, metrics: Metrics) {
+  constructor (codec: DatagramCodec, links: ILinkFilter, metrics: IControlCounter) {
     super()
     this.#codec = codec
     this.#links = links
