--- /dev/null
+++ b/src/common/routing/StopWindow.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest'
+import { takesWhileStopping } from './StopWindow.js'
+
+const stop = { startedAt: 10_000, endsAt: 17_500 }
+const guide = { parts: [], promptTokens: 700, maxAnswerTokens: 400 }
+const report = { parts: [], promptTokens: 9_200, maxAnswerTokens: 50 }
+
+describe('takesWhileStopping, for callers that keep using open connections', () => {
+  it('takes short answers to the end and refuses long streams that would be cut', () => {
+    const taken = [0, 2_400, 3_400, 5_000, 6_600, 7_400].map(ms => [ms, takesWhileStopping(stop, guide, 10_000 + ms), takesWhileStopping(stop, report, 10_000 + ms), takesWhileStopping(stop, undefined, 10_000 + ms)])
+    expect(taken).toMatchInlineSnapshot(`
+      [
+        [
+          0,
+          true,
+          true,
+          true,
+        ],
+        [
+          2400,
+          true,
+          true,
+          true,
+        ],
+        [
+          3400,
+          false,
+          true,
+          true,
+        ],
+        [
+          5000,
+          false,
+          true,
+          true,
+        ],
+        [
+          6600,
+          false,
+          false,
+          true,
+        ],
+        [
+          7400,
+          false,
+          false,
+          false,
+        ],
+      ]
+    `)
+  })
+})
--- a/src/gateway/FrontServer.ts
+++ b/src/gateway/FrontServer.ts
@@ -6,6 +6,7 @@
 import { routeError, type RouteError } from '../common/Errors.js'
 import type { RouteTable } from '../common/routing/RouteTable.js'
 import { sessionHash } from '../common/routing/PromptPlacement.js'
+import { takesWhileStopping, type StopWindow } from '../common/routing/StopWindow.js'
 import type { Account, CallerLimits, Route } from '../common/routing/Types.js'
 import { hashString } from '../common/Hash.js'
 import { listen } from '../router/CallerHttp.js'
@@ -39,8 +40,7 @@
   readonly #services: FrontServices
   readonly #server: Server
   #active = 0
-  #stopping = false
-  #refuseStreams = false
+  #stop: StopWindow | undefined
 
   constructor (services: FrontServices) {
     super()
@@ -64,14 +64,9 @@
     await listen(this.#server, address, port)
   }
 
-  /** From now on callers are told to use another connection next. */
-  drain (): void {
-    this.#stopping = true
-  }
-
-  /** From now on streams are refused: the rest of the stop is too short for one. */
-  refuseStreams (): void {
-    this.#refuseStreams = true
+  /** From now on callers are told to use another connection next, and what can't end in time is refused. */
+  drain (stop: StopWindow): void {
+    this.#stop = stop
   }
 
   closeIdle (): void {
@@ -80,7 +75,7 @@
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const startedAt = this.#services.clock.nowMs()
-    const reply = new CallerReply(req, res, () => this.#stopping)
+    const reply = new CallerReply(req, res, () => this.#stop !== undefined)
     this.#count(1)
     res.once('close', () => this.#count(-1))
     const decoded = this.#services.codec.decode({ method: req.method ?? '', target: req.url ?? '', headers: req.rawHeaders })
@@ -107,7 +102,7 @@
     const found = table.route(request.host, request.path)
     if (found.isNothing) return err(this.#unknown('route_not_found'))
     const route = found.value
-    if (this.#refuseStreams && route.streaming) return err(routeError('stopping', 'admit', 'caller', '', RETRY_SOON_MS))
+    if (this.#stop !== undefined && !takesWhileStopping(this.#stop, request.prompt, this.#services.clock.nowMs())) return err(routeError('stopping', 'admit', 'caller', '', RETRY_SOON_MS))
     if (table.config.accounts === undefined || route.open) return ok({ request, route, account: undefined, table })
     const account = table.account(request.apiKey ?? '')
     return account.isNothing ? err(this.#unknown('invalid_api_key')) : ok({ request, route, account: account.value, table })
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -20,8 +20,7 @@
 const STOP_POLL_MS = 50
 const IDLE_CLOSE_MS = 3_000 // by then the balancer sends no new connections
 const MIN_STOP_MS = 4_000
-const LONGEST_STREAM_MS = 3_500
-const STOP_MARGIN_MS = 500
+const STOP_MARGIN_MS = 350 // before the platform ends the process
 const SAVED_RETRIES_PART = 0.05 // of the burst that all instances share
 const RETRY_RATIO_PART = 0.7 // of the shared ratio; the rest is a margin for windows that differ
 
@@ -142,12 +141,11 @@
     const { graceMs } = this.#settings
     this.#stopping = true
     this.#peers.leave()
-    this.#front.drain()
+    this.#front.drain({ startedAt, endsAt: startedAt + graceMs - STOP_MARGIN_MS })
     this.#log.info({ step: 'stop', inFlight: this.#front.active, graceMs }, 'stopping')
     await sleep(Math.min(IDLE_CLOSE_MS, graceMs / 2))
     while (elapsed() < graceMs - STOP_MARGIN_MS) {
       this.#front.closeIdle()
-      if (elapsed() > graceMs - LONGEST_STREAM_MS) this.#front.refuseStreams()
       if (elapsed() > MIN_STOP_MS && this.#front.active === 0) break
       await sleep(STOP_POLL_MS)
     }
