Keep sessions with the engine that holds their prompt

Change: a session's owner among the gateways remembers the engine that took it; askers fall back on their own memory within 12 ms.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,7 +29,7 @@
 }))
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'src/common/generated/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'src/common/generated/**'] }),
   { files: ['scripts/**'], rules: { 'new-cap': 'off' } },
   { rules: { '@typescript-eslint/no-redeclare': 'off', 'no-redeclare': 'off', '@stylistic/max-len': ['error', { code: 160, ignoreStrings: true, ignoreTemplateLiterals: true }] } },
   ...layers
--- a/src/gateway/EndpointExchange.test.ts
+++ b/src/gateway/EndpointExchange.test.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { EndpointAgent } from './EndpointAgent.js'
 import { EndpointExchange, type ExchangeFailure } from './EndpointExchange.js'
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -47,6 +47,14 @@
     this.table.take(list, now - ageMs, now)
   }
 
+  /** True when an endpoint of this hash is listed and not leaving. */
+  isUsable (hash: number): boolean {
+    for (const state of this.#states.values()) {
+      if (state.hash === hash) return this.table.get(state.endpoint.id)?.leaving === false
+    }
+    return false
+  }
+
   /** Loads that endpoints stated a short while ago, the newest first. */
   freshLoads (): ToldLoad[] {
     const now = this.#clock.nowMs()
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -11,6 +11,7 @@
 import { EndpointPool } from './EndpointPool.js'
 import { FrontServer } from './FrontServer.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
+import { HolderTask } from './HolderTask.js'
 import { PeerParts } from './PeerParts.js'
 import { PeerTask, unitOf } from './PeerTask.js'
 import { RequestLog } from './RequestLog.js'
@@ -76,15 +77,24 @@
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
       metrics.configRevision.set(revision)
     }))
+    const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
+    this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, this.#peerHost()))
+    this.#parts = this.own(new PeerParts(this.#partSource(), log))
+    const holders = this.own(new HolderTask(this.#peers, clock, hash => this.#pool.isUsable(hash)))
     const services = {
-      clock, codec, metrics, pool: this.#pool, config: this.#config, dataCentre: settings.dataCentre, systemLog: log,
-      log: new RequestLog(log, clock), budget: (service: string) => this.#budget(service)
+      clock,
+      codec,
+      metrics,
+      holders,
+      pool: this.#pool,
+      config: this.#config,
+      dataCentre: settings.dataCentre,
+      systemLog: log,
+      log: new RequestLog(log, clock),
+      budget: (service: string) => this.#budget(service)
     }
     this.#front = this.own(new FrontServer(services))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
-    const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
-    this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, this.#peerHost()))
-    this.#parts = this.own(new PeerParts(this.#partSource(), log))
     this.own(this.#config.onChange(() => this.#peers.announce()))
     this.#status = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -8,10 +8,11 @@
 import { Membership, type Outgoing } from '../common/membership/Membership.js'
 import { judgeConfig, judgeList, type ViewAge } from '../common/peers/News.js'
 import { readerOf } from '../common/peers/ReadDuty.js'
-import type { IClock, IRandom } from '../common/Services.js'
+import type { IClock, IEvent, IRandom } from '../common/Services.js'
 import type { InstanceAddress } from '../common/Types.js'
 import { DatagramCodec } from '../router/DatagramCodec.js'
 import type { Log } from '../router/Log.js'
+import type { IHolderPeers } from './HolderTask.js'
 import { PeerSocket, type IControlCounter } from '../router/PeerSocket.js'
 
 const TICK_MS = 100
@@ -31,8 +32,8 @@
   fetch (part: 'config' | 'endpoints', from: InstanceAddress, ageMs: number): void
 }
 
-export class PeerTask extends Disposable {
-  readonly #self: InstanceAddress
+export class PeerTask extends Disposable implements IHolderPeers {
+  readonly self: InstanceAddress
   readonly #clock: IClock
   readonly #random: IRandom
   readonly #log: Log
@@ -43,7 +44,7 @@
 
   constructor (self: InstanceAddress, clock: IClock, random: IRandom, counter: IControlCounter, log: Log, host: IPeerHost) {
     super()
-    this.#self = self
+    this.self = self
     this.#clock = clock
     this.#random = random
     this.#log = log
@@ -56,7 +57,7 @@
 
   /** Binds the socket and starts to talk. @param seeds addresses at which peers may listen. */
   async start (seeds: readonly string[]): Promise<void> {
-    const { address, peerPort } = this.#self
+    const { address, peerPort } = this.self
     await this.#socket.bind(address, peerPort)
     this.#membership.learn(seeds.map(ip => ({ id: ip, dataCentre: '', address: ip, peerPort })), this.#clock.nowMs())
     const timer = setInterval(() => this.#tick(), TICK_MS)
@@ -65,12 +66,23 @@
 
   /** True when this instance reads `topic` for its data centre. */
   reads (topic: string): boolean {
-    return readerOf(topic, this.#membership.usable(this.#self.dataCentre)) === this.#self.id
+    return readerOf(topic, this.#membership.usable(this.self.dataCentre)) === this.self.id
   }
 
-  /** Live peers and this instance. */
-  get size (): number {
-    return this.#membership.usable().length
+  get onDatagram (): IEvent<PeerDatagram> {
+    return this.#socket.onDatagram
+  }
+
+  usable (): readonly string[] {
+    return this.#membership.usable()
+  }
+
+  address (id: string): InstanceAddress | undefined {
+    return this.#membership.member(id)
+  }
+
+  send (to: InstanceAddress, datagram: PeerDatagram): void {
+    this.#socket.send(to, datagram)
   }
 
   /** Pushes a change at once. */
@@ -94,9 +106,9 @@
   #sendNews (fanout: number): void {
     const { configRevision, configAgeMs, listRevision, listDigest, listAgeMs } = this.#host.viewAge()
     const news: NewsDatagram = {
-      kind: 'news', id: this.#self.id, configRevision, configAgeMs: finite(configAgeMs), listRevision, listDigest, listAgeMs: finite(listAgeMs), loads: this.#host.freshLoads()
+      kind: 'news', id: this.self.id, configRevision, configAgeMs: finite(configAgeMs), listRevision, listDigest, listAgeMs: finite(listAgeMs), loads: this.#host.freshLoads()
     }
-    const peers = this.#membership.usable().filter(id => id !== this.#self.id)
+    const peers = this.#membership.usable().filter(id => id !== this.self.id)
     for (let i = 0; i < fanout && peers.length > 0; i++) {
       const [id] = peers.splice(Math.floor(this.#random.next() * peers.length), 1)
       const peer = this.#membership.member(id!)
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -2,8 +2,8 @@
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
-import { placePrompt, type Choice } from '../common/routing/PromptPlacement.js'
-import type { Account, Route } from '../common/routing/Types.js'
+import { placePrompt, sessionHash, type Choice } from '../common/routing/PromptPlacement.js'
+import type { Account, Prompt, Route } from '../common/routing/Types.js'
 import type { RetryBudget } from '../common/limits/RetryBudget.js'
 import type { IClock } from '../common/Services.js'
 import { Attempt, type AttemptResult } from './Attempt.js'
@@ -11,6 +11,7 @@
 import type { EndpointPool, PooledEndpoint } from './EndpointPool.js'
 import { EventStream } from './EventStream.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { HolderTask } from './HolderTask.js'
 import type { AttemptLine, RequestLog } from './RequestLog.js'
 import type { IRequestCodec, RoutedRequest } from './Types.js'
 
@@ -29,6 +30,7 @@
   readonly clock: IClock
   readonly codec: IRequestCodec
   readonly pool: EndpointPool
+  readonly holders: HolderTask
   readonly metrics: GatewayMetrics
   readonly log: RequestLog
   readonly dataCentre: string
@@ -56,6 +58,7 @@
   readonly #tried = new Set<string>()
   readonly #lines: AttemptLine[] = []
   readonly #repeatable: boolean
+  #holder: number | undefined
   #current: Attempt | undefined
   #stopped: 'caller-gone' | 'deadline' | undefined
   #mayHaveRun = false
@@ -91,7 +94,8 @@
   async #attempts (): Promise<RouteError | undefined> {
     for (;;) {
       if (this.#stopped !== undefined || this.#reply.gone) return this.#stoppedError()
-      const choice = this.#choose()
+      const choice = await this.#choose()
+      if (this.#stopped !== undefined) continue
       if (choice === undefined) return this.#error(this.#lines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
       const result = await this.#attempt(choice)
       const next = this.#judge(choice, result)
@@ -99,16 +103,32 @@
     }
   }
 
-  #choose (): Choice | undefined {
-    const { pool, clock, dataCentre, metrics } = this.#services
-    const { request, service } = this.#run
-    const candidates = pool.candidates(service, this.#tried)
-    const now = clock.nowMs()
-    const choice = request.prompt === undefined ? placeCall(request.id, dataCentre, candidates, now) : placePrompt(request.prompt, dataCentre, candidates, now)
+  async #choose (): Promise<Choice | undefined> {
+    const { prompt, id } = this.#run.request
+    const { clock, dataCentre, metrics } = this.#services
+    const choice = prompt === undefined
+      ? placeCall(id, dataCentre, this.#candidates(), clock.nowMs())
+      : await this.#choosePrompt(prompt)
     if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
     return choice
   }
 
+  /** Asks for the session's holder once; later attempts go on from it. */
+  async #choosePrompt (prompt: Prompt): Promise<Choice | undefined> {
+    const { clock, holders } = this.#services
+    const session = sessionHash(prompt)
+    if (this.#holder === undefined) {
+      const proposed = placePrompt(prompt, holders.remembered(session), this.#candidates(), clock.nowMs())
+      if (proposed === undefined) return undefined
+      this.#holder = await holders.holder(session, proposed.state.hash)
+    }
+    return placePrompt(prompt, this.#holder, this.#candidates(), clock.nowMs())
+  }
+
+  #candidates (): PooledEndpoint[] {
+    return this.#services.pool.candidates(this.#run.service, this.#tried)
+  }
+
   async #attempt (choice: Choice): Promise<AttemptResult> {
     const { clock, codec, metrics } = this.#services
     const { request, route, account, body, service } = this.#run
--- a/src/router/DatagramCodec.ts
+++ b/src/router/DatagramCodec.ts
@@ -2,11 +2,11 @@
 import { timingSafeEqual } from 'node:crypto'
 import { Packr } from 'msgpackr'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, InstanceDigest, MemberRumour, NewsDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
+import type { AllowanceDatagram, HolderDatagram, InstanceDigest, MemberRumour, NewsDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
 import { checkPeerDatagram, formatErrors } from '../common/Schema.js'
 import { hmac } from './Crypto.js'
 
-const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news'] as const
+const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news', 'askHolder', 'tellHolder'] as const
 const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
 const MAC_BYTES = 12
 
@@ -35,6 +35,9 @@
       return [kind, datagram.seq, datagram.id, datagram.account, datagram.count]
     case 'news':
       return newsRow(kind, datagram)
+    case 'askHolder':
+    case 'tellHolder':
+      return [kind, datagram.seq, datagram.id, datagram.session, datagram.endpoint]
   }
 }
 
@@ -65,6 +68,7 @@
 function fromRow (row: Row): PeerDatagram {
   const kind = KINDS[row[0] as number]
   if (kind === 'news') return newsOf(row)
+  if (kind === 'askHolder' || kind === 'tellHolder') return { kind, seq: row[1], id: row[2], session: row[3], endpoint: row[4] } as HolderDatagram
   if (kind === 'ownPing' || kind === 'ownAck') return { kind, seq: row[1], id: row[2], listDigest: row[3] } as OwnershipDatagram
   if (kind === 'take' || kind === 'grant') return { kind, seq: row[1], id: row[2], account: row[3], count: row[4] } as AllowanceDatagram
   return { kind, seq: row[1], target: row[2], from: digestOf(row[3] as Row), rumours: (row[4] as readonly Row[]).map(rumourOf) } as ProbeDatagram
