Test routing, peers, holders and the platform's records; reload settings; share the retry burst

Unit tests by load pattern. Settings that change are read again, on SIGHUP or by the file's time. The burst of repeated sends is divided by the most gateways seen at once.

--- a/src/common/limits/RetryBudget.ts
+++ b/src/common/limits/RetryBudget.ts
@@ -4,7 +4,7 @@
 
 export class RetryBudget {
   readonly #ratio: number
-  readonly #maxSaved: number
+  #maxSaved: number
   #saved: number
 
   /** @param ratio retries earned by each request; @param maxSaved retries that a quiet node saves up at most. */
@@ -14,6 +14,12 @@
     this.#saved = maxSaved / 2
   }
 
+  /** Changes how many retries are saved up at most, as the instances that share a limit come and go. */
+  setMaxSaved (maxSaved: number): void {
+    this.#maxSaved = maxSaved
+    this.#saved = Math.min(this.#saved, maxSaved)
+  }
+
   /** Counts a first attempt. */
   request (): void {
     this.#saved = Math.min(this.#maxSaved, this.#saved + this.#ratio)
--- /dev/null
+++ b/src/common/peers/Peers.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from 'vitest'
+import { judgeConfig, judgeList, type ViewAge } from './News.js'
+import { readerOf, readWaitMs } from './ReadDuty.js'
+
+const view: ViewAge = { configRevision: 5, configAgeMs: 900, listRevision: 100, listDigest: 7, listAgeMs: 900 }
+
+describe('news of a peer', () => {
+  it('is fetched when newer, confirms what is equal, and never leads back', () => {
+    const verdicts = [
+      judgeConfig(view, { ...view, configRevision: 6 }),
+      judgeConfig(view, { ...view, configAgeMs: 100 }),
+      judgeConfig(view, { ...view, configRevision: 4, configAgeMs: 0 }),
+      judgeList(view, { ...view, listRevision: 104, listAgeMs: 100 }),
+      judgeList(view, { ...view, listRevision: 104, listAgeMs: 100, listDigest: 8 }),
+      judgeList(view, { ...view, listRevision: 99, listAgeMs: 0, listDigest: 8 }),
+      judgeList(view, { ...view, listRevision: 104, listAgeMs: 2_000, listDigest: 8 })
+    ]
+    expect(verdicts).toEqual(['fetch', 'confirm', 'ignore', 'confirm', 'fetch', 'ignore', 'ignore'])
+  })
+})
+
+describe('read duty, for many instances that want the same few values', () => {
+  const ids = Array.from({ length: 120 }, (_, i) => `i${i}`)
+
+  it('falls to one instance of a data centre, and to another when that one is gone', () => {
+    const reader = readerOf('endpoints', ids)!
+    const next = readerOf('endpoints', ids.filter(id => id !== reader))!
+    expect([ids.includes(reader), next !== reader, readerOf('endpoints', [])]).toEqual([true, true, undefined])
+  })
+
+  it('lets others wait for news, and makes them read by themselves within 1.6 intervals without any', () => {
+    const waits = ids.map((_, i) => readWaitMs(false, 0, 1_000, i / ids.length))
+    expect(readWaitMs(true, 0, 1_000, 0.5)).toBe(1_000)
+    expect(Math.min(...waits)).toBeGreaterThan(1_300)
+    expect(Math.max(...waits)).toBeLessThanOrEqual(1_600)
+    expect(readWaitMs(false, Infinity, 1_000, 1)).toBe(0)
+  })
+})
--- /dev/null
+++ b/src/common/routing/Routing.test.ts
@@ -0,0 +1,213 @@
+import { describe, expect, it } from 'vitest'
+import { hashString } from '../Hash.js'
+import { placeCall } from './CallPlacement.js'
+import { DataCentreReach } from './DataCentreReach.js'
+import { EndpointHealth } from './EndpointHealth.js'
+import { EndpointState } from './EndpointState.js'
+import { EndpointTable } from './EndpointTable.js'
+import { placePrompt, sessionHash } from './PromptPlacement.js'
+import { RouteTable } from './RouteTable.js'
+import type { Endpoint, Prompt, Route, RoutingConfig } from './Types.js'
+
+function endpoint (id: string, extra: Partial<Endpoint> = {}): Endpoint {
+  return { id, service: 'pool', address: '10.0.0.1', port: 80, dataCentre: 'dc-a', slots: 8, leaving: false, startedAtMs: 0, warmUpMs: 0, ...extra }
+}
+
+function route (name: string, pathPrefix: string, extra: Partial<Route> = {}): Route {
+  return {
+    name,
+    host: 'a.example',
+    pathPrefix,
+    targets: [{ service: 'pool', weight: 1 }],
+    idempotent: true,
+    streaming: false,
+    resumable: false,
+    timeoutMs: 1_000,
+    latencyGoalMs: 100,
+    maxAttempts: 2,
+    priority: 1,
+    open: false,
+    ...extra
+  }
+}
+
+function config (extra: Partial<RoutingConfig> = {}): RoutingConfig {
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  return { revision: 1, routes: [route('short', '/a/'), route('long', '/a/b/')], services: [], accounts: [{ id: 'looms', keys: ['k1', 'k2'], priority: 1 }], limits, ...extra }
+}
+
+function prompt (session: string): Prompt {
+  return { parts: [{ id: 'shared', tokens: 100 }, { id: session, tokens: 800 }, { id: `own-${session}`, tokens: 50 }], promptTokens: 950, maxAnswerTokens: 100 }
+}
+
+const engines = (count: number): EndpointState[] => Array.from({ length: count }, (_, i) => new EndpointState(endpoint(`e${i}`)))
+
+describe('RouteTable', () => {
+  it('takes the longest prefix of the host, and the account of any of its keys', () => {
+    const table = new RouteTable(config())
+    const names = ['/a/x', '/a/b/x', '/b/x', '/a'].map(path => table.route('A.example:80', path).map(r => r.name).unwrapOr('none'))
+    expect(names).toEqual(['short', 'long', 'none', 'none'])
+    expect([table.account('k2').map(a => a.id).unwrapOr(''), table.account('k3').isNothing, table.route('b.example', '/a/').isNothing]).toEqual(['looms', true, true])
+  })
+
+  it('splits sessions over services by weight and keeps each at one service', () => {
+    const table = new RouteTable(config())
+    const split = route('split', '/', { targets: [{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }] })
+    const services = Array.from({ length: 2_000 }, (_, i) => table.serviceFor(split, hashString(`s${i}`)))
+    const part = services.filter(s => s === 'y').length / services.length
+    expect(part).toBeGreaterThan(0.07)
+    expect(part).toBeLessThan(0.13)
+    expect(services).toEqual(Array.from({ length: 2_000 }, (_, i) => table.serviceFor(split, hashString(`s${i}`))))
+  })
+})
+
+describe('EndpointTable', () => {
+  const list = (revision: number, ...ids: string[]): { revision: number, endpoints: Endpoint[] } => ({ revision, endpoints: ids.map(id => endpoint(id)) })
+
+  it('removes an endpoint that is no longer listed, at once while the list can be read', () => {
+    const table = new EndpointTable()
+    const changes: string[] = []
+    table.onChange(c => changes.push(`${c.kind} ${c.endpoint.id}`))
+    table.take(list(1, 'a', 'b'), 0, 0)
+    table.take(list(2, 'a'), 1_000, 1_000)
+    expect([changes, table.usable('pool').map(e => e.id)]).toEqual([['joined a', 'joined b', 'gone b'], ['a']])
+  })
+
+  it('keeps entries that lapsed while the list was out of reach for 2 s after its return, but not leaving ones', () => {
+    const table = new EndpointTable()
+    table.take({ revision: 1, endpoints: [endpoint('a'), endpoint('b'), endpoint('c', { leaving: true })] }, 0, 0)
+    table.take(list(2), 6_000, 6_000)
+    const atReturn = table.usable('pool').map(e => e.id)
+    table.take(list(3, 'a'), 7_000, 7_000)
+    const soonAfter = table.usable('pool').map(e => e.id)
+    table.take(list(4, 'a'), 8_300, 8_300)
+    expect([atReturn, soonAfter, table.usable('pool').map(e => e.id), table.get('c')]).toEqual([['a', 'b'], ['a', 'b'], ['a'], undefined])
+  })
+
+  it('leaves out a list older than the last, gives leaving endpoints no work, tells equal lists by their digest', () => {
+    const table = new EndpointTable()
+    table.take({ revision: 5, endpoints: [endpoint('a', { leaving: true }), endpoint('b')] }, 0, 0)
+    const { digest } = table
+    table.take(list(4, 'a', 'b'), 100, 100)
+    expect([table.usable('pool').map(e => e.id), table.digest === digest]).toEqual([['b'], true])
+    table.take(list(6, 'a', 'b'), 200, 200)
+    expect(table.digest === digest).toBe(false)
+  })
+
+  it('takes another start under the same id as another endpoint', () => {
+    const table = new EndpointTable()
+    const changes: string[] = []
+    table.onChange(c => changes.push(c.kind))
+    table.take({ revision: 1, endpoints: [endpoint('a', { startedAtMs: 1 })] }, 0, 0)
+    table.take({ revision: 2, endpoints: [endpoint('a', { startedAtMs: 2 })] }, 100, 100)
+    expect(changes).toEqual(['joined', 'joined'])
+  })
+})
+
+describe('EndpointHealth', () => {
+  it('closes an endpoint that fails far more than the others, not one that fails as they do', () => {
+    const [sick, usual] = [new EndpointHealth(), new EndpointHealth()]
+    const outcomes = ['failed', 'answered', 'failed', 'failed', 'failed', 'failed'] as const
+    const closed = outcomes.map(o => [sick.note(o, 0.02, 0), usual.note(o, 0.5, 0)])
+    expect(closed.filter(([s]) => s).length).toBeGreaterThan(0)
+    expect(closed.some(([, u]) => u)).toBe(false)
+  })
+
+  it('closes one that cannot be reached, longer each time, up to a bound', () => {
+    const health = new EndpointHealth()
+    let now = 0
+    const spans = Array.from({ length: 6 }, () => {
+      health.note('unreachable', 0, now)
+      const span = health.closedUntil - now
+      now = health.closedUntil
+      return span
+    })
+    expect(spans).toEqual([400, 800, 1_600, 3_200, 5_000, 5_000])
+  })
+})
+
+describe('DataCentreReach, for a data centre that is cut off while requests go on', () => {
+  it('closes it after two endpoints failed, and opens it with the first success', () => {
+    const reach = new DataCentreReach()
+    const closed = [reach.failed('dc-b', 'e1', 0), reach.failed('dc-b', 'e1', 100), reach.failed('dc-b', 'e2', 200)]
+    expect([closed, reach.closed('dc-b', 300), reach.closed('dc-a', 300), reach.closed('dc-b', 900)]).toEqual([[false, false, true], true, false, false])
+    reach.failed('dc-b', 'e1', 1_000)
+    reach.reached('dc-b')
+    expect(reach.closed('dc-b', 1_000)).toBe(false)
+  })
+
+  it('keeps a data centre open of which one endpoint fails', () => {
+    const reach = new DataCentreReach()
+    for (let now = 0; now < 5_000; now += 100) reach.failed('dc-b', 'e1', now)
+    expect(reach.closed('dc-b', 5_000)).toBe(false)
+  })
+})
+
+describe('placePrompt, for sessions that return', () => {
+  it('sends a session to one engine, whatever instance decides, and moves few sessions when an engine joins', () => {
+    const before = engines(9)
+    const after = [...before, new EndpointState(endpoint('new'))]
+    const sessions = Array.from({ length: 900 }, (_, i) => prompt(`s${i}`))
+    const moved = sessions.filter(p => placePrompt(p, undefined, before, 0)!.state.hash !== placePrompt(p, undefined, after, 0)!.state.hash)
+    expect(moved.length / sessions.length).toBeLessThan(0.15)
+  })
+
+  it('keeps a session with its holder when an engine joins, and goes by rank when the holder is closed', () => {
+    const [first, ...rest] = engines(4)
+    const other = rest.find(e => e !== placePrompt(prompt('s'), undefined, [first!, ...rest], 0)!.state)!
+    expect(placePrompt(prompt('s'), other.hash, [first!, ...rest], 0)).toMatchObject({ reason: 'holder', state: other })
+    other.health.note('unreachable', 0, 0)
+    expect(placePrompt(prompt('s'), other.hash, [first!, ...rest], 0)!.reason).toBe('home')
+  })
+
+  it('spills a hot session before its engine holds twice the mean and 3', () => {
+    const states = engines(9)
+    for (let i = 0; i < 60; i++) {
+      const choice = placePrompt(prompt('hot'), undefined, states, 0)!
+      const mean = states.reduce((sum, s) => sum + s.inFlight, 0) / states.length
+      expect(choice.state.inFlight).toBeLessThanOrEqual(2 * mean + 3)
+      choice.state.inFlight++
+    }
+  })
+
+  it('prefers the engine that opens soonest to a refusal', () => {
+    const [a, b] = engines(2)
+    a!.health.note('unreachable', 0, 0)
+    b!.health.note('unreachable', 0, 0)
+    b!.health.note('unreachable', 0, 0)
+    expect(placePrompt(prompt('s'), undefined, [a!, b!], 1)).toMatchObject({ reason: 'only-closed', state: a })
+    expect(placePrompt(prompt('s'), undefined, [], 1)).toBeUndefined()
+  })
+
+  it('takes the last shared part as the session', () => {
+    const single = { ...prompt('s'), parts: [{ id: 'only', tokens: 10 }] }
+    expect([sessionHash(prompt('s')), sessionHash(single)]).toEqual([hashString('s'), hashString('only')])
+  })
+})
+
+describe('placeCall, for short calls to a few small endpoints', () => {
+  it('stays in the data centre while its endpoint has room, and leaves it before it queues', () => {
+    const near = new EndpointState(endpoint('near', { slots: 6 }))
+    const far = new EndpointState(endpoint('far', { slots: 6, dataCentre: 'dc-b' }))
+    const reasons = Array.from({ length: 8 }, (_, i) => {
+      const choice = placeCall(`r${i}`, 'dc-a', [near, far], 0)!
+      choice.state.inFlight++
+      return choice.state.endpoint.id
+    })
+    expect(reasons).toEqual(['near', 'near', 'near', expect.any(String), expect.any(String), expect.any(String), expect.any(String), expect.any(String)])
+    expect(near.inFlight).toBeLessThanOrEqual(6)
+    expect(far.inFlight).toBeGreaterThan(0)
+  })
+})
+
+describe('EndpointState', () => {
+  it('adds its own requests to what others have there, and lets old statements fade', () => {
+    const state = new EndpointState(endpoint('e'))
+    state.inFlight = 2
+    state.stated(10, 1_000)
+    state.inFlight = 3
+    expect([state.load(1_000), state.load(2_500), state.load(5_000)]).toEqual([11, 11, 3])
+    state.stated(4, 500)
+    expect(state.load(1_000)).toBe(11)
+  })
+})
--- a/src/common/routing/StopWindow.test.ts
+++ b/src/common/routing/StopWindow.test.ts
@@ -7,7 +7,8 @@
 
 describe('takesWhileStopping, for callers that keep using open connections', () => {
   it('takes short answers to the end and refuses long streams that would be cut', () => {
-    const taken = [0, 2_400, 3_400, 5_000, 6_600, 7_400].map(ms => [ms, takesWhileStopping(stop, guide, 10_000 + ms), takesWhileStopping(stop, report, 10_000 + ms), takesWhileStopping(stop, undefined, 10_000 + ms)])
+    const at = (ms: number): readonly unknown[] => [ms, ...[guide, report, undefined].map(p => takesWhileStopping(stop, p, stop.startedAt + ms))]
+    const taken = [0, 2_400, 3_400, 5_000, 6_600, 7_400].map(at)
     expect(taken).toMatchInlineSnapshot(`
       [
         [
--- a/src/gateway/FrontServer.ts
+++ b/src/gateway/FrontServer.ts
@@ -46,7 +46,9 @@
     super()
     this.#services = services
     this.#server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0 })
-    this.#server.on('request', (req, res) => { void this.#serve(req, res) })
+    this.#server.on('request', (req, res) => {
+      this.#serve(req, res).catch((e: unknown) => this.#onFailure(res, e))
+    })
     this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => this.#onClientError(e, socket))
     this.own(services.config.onChange(table => this.#applyLimits(table.config.limits)))
     this.own(toDisposable(() => {
@@ -122,6 +124,12 @@
     systemLog.info({ step: error.step, requestId: request?.id ?? '', host: request?.host, path: request?.path, code: error.code, detail: error.detail, status: reply.status }, 'refused')
   }
 
+  /** A fault of this program: the caller's connection ends, as whether the request ran isn't known. */
+  #onFailure (res: ServerResponse, e: unknown): void {
+    this.#services.systemLog.error({ step: 'respond', err: String(e), stack: e instanceof Error ? e.stack : undefined }, 'request failed')
+    res.destroy()
+  }
+
   #onClientError (e: NodeJS.ErrnoException, socket: Duplex): void {
     this.#services.systemLog.debug({ step: 'accept', err: e.code ?? e.message }, 'bad request bytes')
     if (!socket.writable || e.code === 'ECONNRESET') {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -22,7 +22,8 @@
 const IDLE_CLOSE_MS = 3_000 // by then the balancer sends no new connections
 const MIN_STOP_MS = 4_000
 const STOP_MARGIN_MS = 350 // before the platform ends the process
-const SAVED_RETRIES_PART = 0.05 // of the burst that all instances share
+const MIN_PEERS = 4 // a gateway that has just started knows few of its peers
+const RETRY_BURST_PART = 0.7 // of the burst that all instances share
 const RETRY_RATIO_PART = 0.7 // of the shared ratio; the rest is a margin for windows that differ
 
 /** An address to listen on. */
@@ -53,7 +54,7 @@
 }
 
 export class Gateway extends Disposable {
-  readonly #settings: GatewaySettings
+  #settings: GatewaySettings
   readonly #clock: IClock
   readonly #log: Log
   readonly #config: ConfigHolder
@@ -63,6 +64,8 @@
   readonly #peers: PeerTask
   readonly #parts: PeerParts
   readonly #budgets = new Map<string, RetryBudget>()
+  /** Most gateways that were live at once: one that is cut off must not spend the others' part. */
+  #mostPeers = MIN_PEERS
   #stopping = false
 
   constructor (settings: GatewaySettings, clock: IClock, random: IRandom, codec: IRequestCodec, metrics: GatewayMetrics, log: Log) {
@@ -144,6 +147,14 @@
     this.#log.info({ step: 'start', callers: `${callers.address}:${callers.port}` }, 'listening')
   }
 
+  /** Takes settings that changed while the process runs; addresses stay as they were at the start. */
+  reload (settings: GatewaySettings): void {
+    const { graceMs, retryRatio, retryBurst } = settings
+    this.#settings = { ...this.#settings, graceMs, retryRatio, retryBurst }
+    this.#budgets.clear()
+    this.#log.info({ step: 'reload', graceMs, retryRatio, retryBurst }, 'settings reloaded')
+  }
+
   /** Graceful stop: unready at once, serves what still comes, refuses late what it couldn't finish. */
   async stop (): Promise<void> {
     const startedAt = this.#clock.nowMs()
@@ -181,7 +192,7 @@
       told: loads => this.#pool.told(loads),
       confirmConfig: ageMs => this.#config.confirm(ageMs),
       confirmList: (revision, ageMs) => this.#pool.table.confirm(revision, this.#clock.nowMs() - ageMs),
-      fetch: (part, from, ageMs) => { void this.#parts.fetch(part, from, ageMs) }
+      fetch: (part, from, ageMs) => { this.#parts.fetch(part, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part, err: String(e) }, 'fetch failed')) }
     }
   }
 
@@ -196,12 +207,13 @@
     }
   }
 
+  /** This gateway's part of the repeated sends that all gateways together may make to a service. */
   #budget (service: string): RetryBudget {
-    let budget = this.#budgets.get(service)
-    if (budget === undefined) {
-      budget = new RetryBudget(this.#settings.retryRatio * RETRY_RATIO_PART, Math.max(1, this.#settings.retryBurst * SAVED_RETRIES_PART))
-      this.#budgets.set(service, budget)
-    }
+    this.#mostPeers = Math.max(this.#mostPeers, this.#peers.usable().length)
+    const maxSaved = Math.max(1, this.#settings.retryBurst * RETRY_BURST_PART / Math.max(1, this.#mostPeers))
+    const budget = this.#budgets.get(service) ?? new RetryBudget(this.#settings.retryRatio * RETRY_RATIO_PART, maxSaved)
+    this.#budgets.set(service, budget)
+    budget.setMaxSaved(maxSaved)
     return budget
   }
 }
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -20,6 +20,7 @@
 const PROVEN_MS = 500 // a connection idle for longer may lead nowhere; work that runs once isn't risked on it
 const ANSWER_SILENCE_GOALS = 3 // multiples of the latency goal after which a repeatable call is tried elsewhere
 const STREAM_SILENCE_MS = 900 // a resumable stream goes on elsewhere before its caller loses patience
+const DISTRUST_MS = 5_000 // an endpoint that answered out of turn gets a connection for each request this long
 const DEADLINE_MARGIN_MS = 60 // the endpoint's own word on the deadline goes before this instance's
 const RETRY_AFTER_MS = 250
 const FAILURE_FROM = 500
@@ -160,7 +161,8 @@
     const load = attempt.head?.load
     if (load !== undefined) state.stated(load.running + load.waiting, clock.nowMs())
     const detail = 'detail' in result ? { detail: result.detail } : {}
-    this.#lines.push({ endpoint: id, reason: choice.reason, load: Math.round(choice.load * 10) / 10, result: result.kind, ...detail, ms: Math.round(clock.nowMs() - startedAt) })
+    const ms = Math.round(clock.nowMs() - startedAt)
+    this.#lines.push({ endpoint: id, reason: choice.reason, load: Math.round(choice.load * 10) / 10, result: result.kind, ...detail, ms })
     metrics.attempts.inc({ service, result: result.kind })
     return result
   }
@@ -185,6 +187,7 @@
         this.#runs++
         this.#mayHaveRun = true
         note(result.why === 'silent' ? 'silent' : 'broken')
+        if (result.why === 'untrusted') state.agent.distrust(this.#services.clock.nowMs() + DISTRUST_MS)
         return this.#repeatable && this.#mayRepeat() ? 'again' : this.#error('response_lost', result.detail)
       case 'broken':
         this.#runs++
@@ -199,7 +202,8 @@
 
   /** Passes an answer on, or tries elsewhere when the endpoint fails more requests than the others do. */
   #answered (state: PooledEndpoint, result: Extract<AttemptResult, { kind: 'answered' }>): undefined | 'again' {
-    if (result.head.status >= FAILURE_FROM && this.#repeatable && this.#heldAnswer === undefined && state.health.failureShare > this.#othersShare(state) + EXCESS_FAILURES && this.#mayRepeat()) {
+    const failsMore = result.head.status >= FAILURE_FROM && state.health.failureShare > this.#othersShare(state) + EXCESS_FAILURES
+    if (failsMore && this.#repeatable && this.#heldAnswer === undefined && this.#mayRepeat()) {
       this.#heldAnswer = result
       return 'again'
     }
--- /dev/null
+++ b/src/platform/Platform.test.ts
@@ -0,0 +1,287 @@
+import { describe, expect, it } from 'vitest'
+import { configOf, endpointOf } from './Records.js'
+import { RequestCodec } from './RequestCodec.js'
+import { parseSettings } from './Settings.js'
+
+const item = (key: string, value: unknown): { key: string, value: Buffer } => ({ key, value: Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)) })
+const entry = { service: 'pool', address: '10.0.0.9:8080', zone: 'a', version: 'v1', slots: 64, state: 'ready', cold_left_ms: 0, seq_no: 4 }
+
+const head = (more: readonly string[] = []): { method: string, target: string, headers: readonly string[] } => ({
+  method: 'POST',
+  target: '/a/b?c=1',
+  headers: [
+    'Host', 'a.example', 'Attempt-Id', '9c41', 'Model', 'm', 'Token-Count', '1460,80', 'Prefix-Hash', '5c1e:800,91bd:410,e440:250',
+    'Deadline-Ms', '6003', 'Authorization', 'Bearer key1', ...more
+  ]
+})
+
+describe('records of endpoints', () => {
+  it('are decoded, and name nothing to use when malformed', () => {
+    expect(endpointOf(item('servers/i-1', { ...entry, born: 17 }))).toMatchInlineSnapshot(`
+      {
+        "address": "10.0.0.9",
+        "dataCentre": "a",
+        "id": "i-1",
+        "leaving": false,
+        "port": 8080,
+        "service": "pool",
+        "slots": 64,
+        "startedAtMs": 17,
+        "warmUpMs": 0,
+      }
+    `)
+    const malformed = [
+      { ...entry, state: 'resting' }, { ...entry, slots: '64' }, { ...entry, address: 'nowhere' }, { ...entry, service: 7 }, { ...entry, born: 1.5 }, [], 'not JSON', '\u0000'
+    ]
+    expect(malformed.map(value => endpointOf(item('servers/i-1', value)))).toEqual(malformed.map(() => undefined))
+    expect(endpointOf(item('servers/', entry))).toBeUndefined()
+    expect(endpointOf(item('servers/i-1', { ...entry, state: 'draining' }))?.leaving).toBe(true)
+  })
+})
+
+describe('the configuration record', () => {
+  it('is decoded', () => {
+    const value = {
+      version: 7,
+      routes: [
+        { name: 'r1', host: 'A.example', path_prefix: '/x/', route_kind: 'streaming', timeout_ms: 6_000, latency_goal_ms: 800, priority: 1, split: [{ service: 'p', weight: 90 }, { service: 'q', weight: 10 }], max_attempts: 1, public: false, resumable: true },
+        { name: 'broken', host: 3 }
+      ],
+      services: [{ name: 'p', health_path: '/healthz', max_conns: 822, engine: { slots: 64, kv_capacity: 314_659 } }],
+      limits: { max_header_bytes: 100, max_body_bytes: 200, header_timeout_ms: 300, idle_timeout_ms: 400 },
+      tenants: [{ name: 'looms', api_keys: ['k1', 'k2'], priority: 1 }]
+    }
+    expect(configOf(item('op/config', value))).toMatchInlineSnapshot(`
+      {
+        "accounts": [
+          {
+            "id": "looms",
+            "keys": [
+              "k1",
+              "k2",
+            ],
+            "priority": 1,
+          },
+        ],
+        "limits": {
+          "headerTimeoutMs": 300,
+          "idleTimeoutMs": 400,
+          "maxBodyBytes": 200,
+          "maxHeaderBytes": 100,
+        },
+        "revision": 7,
+        "routes": [
+          {
+            "host": "a.example",
+            "idempotent": false,
+            "latencyGoalMs": 800,
+            "maxAttempts": 1,
+            "name": "r1",
+            "open": false,
+            "pathPrefix": "/x/",
+            "priority": 1,
+            "resumable": true,
+            "streaming": true,
+            "targets": [
+              {
+                "service": "p",
+                "weight": 90,
+              },
+              {
+                "service": "q",
+                "weight": 10,
+              },
+            ],
+            "timeoutMs": 6000,
+          },
+        ],
+        "services": [
+          {
+            "engine": {
+              "memoryTokens": 314659,
+              "slots": 64,
+            },
+            "healthPath": "/healthz",
+            "id": "p",
+            "maxConnections": 822,
+          },
+        ],
+      }
+    `)
+    expect([configOf(item('op/config', '{')), configOf(item('op/config', { routes: [] }))]).toEqual([undefined, undefined])
+  })
+})
+
+describe('RequestCodec', () => {
+  const codec = new RequestCodec()
+
+  it('reads what routing needs', () => {
+    const { passHeaders, ...rest } = codec.decode(head())._unsafeUnwrap()
+    expect(rest).toMatchInlineSnapshot(`
+      {
+        "apiKey": "key1",
+        "host": "a.example",
+        "id": "9c41",
+        "method": "POST",
+        "path": "/a/b",
+        "patienceMs": 6003,
+        "prompt": {
+          "maxAnswerTokens": 80,
+          "parts": [
+            {
+              "id": "5c1e",
+              "tokens": 800,
+            },
+            {
+              "id": "91bd",
+              "tokens": 410,
+            },
+            {
+              "id": "e440",
+              "tokens": 250,
+            },
+          ],
+          "promptTokens": 1460,
+        },
+        "target": "/a/b?c=1",
+      }
+    `)
+    expect(codec.decode({ method: 'GET', target: '/', headers: [] }).isErr()).toBe(true)
+  })
+
+  it('drops what only this system may set, the key, and headers of one connection', () => {
+    const forged = ['Tenant', 'evil', 'expect-instance', 'i-x', 'Kv-From', '1.2.3.4:5/6', 'Cache-Hold', '1', 'Connection', 'close, X-Hop', 'X-Hop', '1', 'X-Kept', '2']
+    const request = codec.decode(head(forged))._unsafeUnwrap()
+    const headers = codec.encode({ request, endpointId: 'i-7', account: 'looms', priority: 1, timeLeftMs: 5_000.7, lastEventId: undefined })
+    expect(headers).toMatchInlineSnapshot(`
+      [
+        "Host",
+        "a.example",
+        "Attempt-Id",
+        "9c41",
+        "Model",
+        "m",
+        "Token-Count",
+        "1460,80",
+        "Prefix-Hash",
+        "5c1e:800,91bd:410,e440:250",
+        "X-Kept",
+        "2",
+        "Expect-Instance",
+        "i-7",
+        "Tenant",
+        "looms",
+        "Deadline-Ms",
+        "5000",
+        "Request-Priority",
+        "1",
+      ]
+    `)
+  })
+
+  it('asks for a stream to go on after the last event, once', () => {
+    const request = codec.decode(head(['Last-Event-Id', '3']))._unsafeUnwrap()
+    const headers = codec.encode({ request, endpointId: 'i-7', account: undefined, priority: undefined, timeLeftMs: undefined, lastEventId: '9' })
+    expect(headers.join(' ')).toContain('Last-Event-Id 9')
+    expect(headers.join(' ')).not.toContain('Last-Event-Id 3')
+  })
+
+  it('trusts only an endpoint\'s own whole answer to this request', () => {
+    const request = codec.decode(head())._unsafeUnwrap()
+    const own = ['Attempt-Id', '9c41']
+    const cases: Record<string, readonly [number, readonly string[]]> = {
+      signed: [200, [...own, 'Server-Signature', 's', 'Server-Load', '3,1,8']],
+      unsigned: [200, own],
+      'of another request': [200, ['Attempt-Id', 'ffff', 'Server-Signature', 's']],
+      'late refusal of another request': [503, ['Attempt-Id', 'ffff', 'Not-Executed', '1']],
+      encoded: [200, [...own, 'Server-Signature', 's', 'Content-Encoding', 'gzip']],
+      full: [503, [...own, 'Not-Executed', '1']],
+      'failed at the endpoint': [503, own],
+      'another instance': [421, ['Instance-Id', 'i-2']]
+    }
+    const read = Object.entries(cases).map(([name, [status, headers]]) => {
+      const { trusted, notRun, load } = codec.answer(request, status, headers)
+      return `${name}: ${trusted ? 'trusted' : 'not trusted'}, ${notRun ? 'not run' : 'may have run'}${load === undefined ? '' : `, load ${load.running}+${load.waiting}`}`
+    })
+    expect(read).toMatchInlineSnapshot(`
+      [
+        "signed: trusted, may have run, load 3+1",
+        "unsigned: not trusted, may have run",
+        "of another request: not trusted, may have run",
+        "late refusal of another request: not trusted, may have run",
+        "encoded: not trusted, may have run",
+        "full: trusted, not run",
+        "failed at the endpoint: trusted, may have run",
+        "another instance: trusted, not run",
+      ]
+    `)
+  })
+
+  it('says when to come back, in seconds', () => {
+    expect(codec.refusal(undefined, 250)).toEqual(['Retry-After', '0.25'])
+  })
+})
+
+describe('settings', () => {
+  const file = {
+    node_name: 'edge-1',
+    ip: '10.1.0.40',
+    zone: 'a',
+    listen: { frontend: '10.1.0.40:8227', readiness: '10.1.0.40:8220' },
+    platform: { address: '10.200.1.7:8223' },
+    port_range: [7_340, 7_355],
+    seeds: ['10.1.0.40:8229', '10.2.0.29:8229'],
+    bounds: { grace_s: 9, drain_ms: 1_800, strict_revoke: false, grown_bound: 1 }
+  }
+
+  it('are translated, with defaults for bounds that are absent', () => {
+    expect(parseSettings(JSON.stringify(file), 'f')._unsafeUnwrap()).toMatchInlineSnapshot(`
+      {
+        "drainMs": 1800,
+        "gateway": {
+          "callers": {
+            "address": "10.1.0.40",
+            "port": 8227,
+          },
+          "dataCentre": "a",
+          "graceMs": 9000,
+          "id": "edge-1",
+          "metrics": {
+            "address": "10.1.0.40",
+            "port": 9464,
+          },
+          "metricsPath": "/metrics",
+          "peerPort": 7340,
+          "readiness": {
+            "address": "10.1.0.40",
+            "port": 8220,
+          },
+          "readinessPath": "/v1/readyz",
+          "retryBurst": 20,
+          "retryRatio": 0.2,
+          "seeds": [
+            "10.2.0.29",
+          ],
+        },
+        "store": {
+          "address": "10.200.1.7",
+          "port": 8223,
+        },
+      }
+    `)
+  })
+
+  it('name the field that is missing', () => {
+    const { zone, ...rest } = file
+    expect([parseSettings('{', 'f')._unsafeUnwrapErr().reason.startsWith('not JSON'), parseSettings(JSON.stringify(rest), 'f')._unsafeUnwrapErr()]).toMatchInlineSnapshot(`
+      [
+        true,
+        {
+          "peer": "f",
+          "reason": "zone must be a text",
+          "step": "settings",
+        },
+      ]
+    `)
+  })
+})
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,16 +1,19 @@
 #!/usr/bin/env node
 /** `radishloft-gateway`: one entry instance on the users' platform. Exit codes: 0 stopped, 1 failed, 2 bad settings. */
+import { watchFile } from 'node:fs'
 import { SeededRandom } from '../common/SeededRandom.js'
 import { Gateway } from '../gateway/Gateway.js'
 import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
 import { SystemClock } from '../router/Clock.js'
-import { createLog } from '../router/Log.js'
+import { createLog, type Log } from '../router/Log.js'
 import { RequestCodec } from './RequestCodec.js'
 import { loadSettings, type PlatformSettings } from './Settings.js'
 import { StoreClient } from './StoreClient.js'
 import { ConfigReader, EndpointReader } from './StoreReaders.js'
 
+const EXIT_FAILED = 1
 const EXIT_BAD_SETTINGS = 2
+const SETTINGS_CHECK_MS = 5_000 // the file may change without a signal
 const LIST_INTERVAL_PART = 0.55 // of the time in which a leaving endpoint must be noticed
 
 async function run (path: string, settings: PlatformSettings): Promise<void> {
@@ -25,12 +28,26 @@
   process.on('SIGTERM', () => {
     if (stopping) return
     stopping = true
-    void gateway.stop().then(() => process.exit(0))
+    gateway.stop().then(() => exit(log, 0), (e: unknown) => {
+      log.error({ step: 'stop', err: String(e) }, 'stop failed')
+      exit(log, EXIT_FAILED)
+    })
   })
-  process.on('SIGHUP', () => log.info({ step: 'reload', path }, 'settings file read again'))
+  const reload = (): void => {
+    const changed = loadSettings(path)
+    if (changed.isOk()) gateway.reload(changed.value.gateway)
+    else log.error({ ...changed.error }, 'changed settings are not taken')
+  }
+  process.on('SIGHUP', reload)
+  watchFile(path, { interval: SETTINGS_CHECK_MS, persistent: false }, reload)
   process.on('uncaughtException', e => log.error({ step: 'run', err: String(e), stack: e.stack }, 'uncaught error'))
   await gateway.start()
-  readers.forEach(reader => { void reader.run() })
+  for (const reader of readers) reader.run().catch((e: unknown) => log.error({ step: 'store', err: String(e) }, 'reader failed'))
+}
+
+/** Ends the process once its log is written. */
+function exit (log: Log, code: number): void {
+  log.flush(() => process.exit(code))
 }
 
 const path = process.env.RADISHLOFT_CONFIG ?? ''
