--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -107,6 +107,11 @@
     return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity
   }
 
+  /** Revision of the configuration in force; 0 before the first. */
+  get configRevision (): number {
+    return this.#config.revision
+  }
+
   /** Takes a configuration in from the platform. */
   offerConfig (config: RoutingConfig): void {
     this.#config.offer(config)
--- /dev/null
+++ b/src/platform/Path.test.ts
@@ -0,0 +1,265 @@
+/** The whole path on loopback: a caller, gateways, and stand-ins of the platform's store and workers. */
+import { request } from 'node:http'
+import { createServer, type AddressInfo } from 'node:net'
+import { pino } from 'pino'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { Gateway } from '../gateway/Gateway.js'
+import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
+import { SystemClock } from '../router/Clock.js'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { PlatformWorker, type WorkerMood } from '../standin/PlatformWorker.js'
+import { RequestCodec } from './RequestCodec.js'
+import { StoreClient } from './StoreClient.js'
+import { ConfigReader, EndpointReader } from './StoreReaders.js'
+
+const LIST_INTERVAL_MS = 100
+const SETTLE_MS = 50
+const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
+
+interface Answer {
+  readonly status: number
+  readonly body: string
+  readonly signature: string | undefined
+  readonly retryAfter: string | undefined
+  /** False when the connection broke before the end. */
+  readonly whole: boolean
+}
+
+/** One gateway with its readers. */
+interface Running {
+  readonly gateway: Gateway
+  readonly port: number
+  readonly stop: () => void
+}
+
+const sleep = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
+
+async function until (holds: () => boolean): Promise<void> {
+  while (!holds()) await sleep(10)
+}
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => server.close(() => resolve()))
+  return port
+}
+
+/** @param address loopback address, one for each gateway, as all of them use one peer port. */
+async function startGateway (storePort: number, address: string, peerPort: number, seeds: readonly string[]): Promise<Running> {
+  const [port, readiness, metricsPort] = [await freePort(), await freePort(), await freePort()]
+  const log = pino({ level: 'silent' })
+  const metrics = new GatewayMetrics()
+  const settings = {
+    id: `gateway-${address}`,
+    dataCentre: 'a',
+    callers: { address: '127.0.0.1', port },
+    readiness: { address: '127.0.0.1', port: readiness },
+    readinessPath: '/ready',
+    metrics: { address, port: metricsPort },
+    metricsPath: '/metrics',
+    peerPort,
+    seeds,
+    graceMs: 8_000,
+    retryRatio: 1,
+    retryBurst: 1_000
+  }
+  const gateway = new Gateway(settings, new SystemClock(), new SeededRandom(1), new RequestCodec(), metrics, log)
+  const store = new StoreClient('127.0.0.1', storePort, metrics)
+  const readers = [new ConfigReader(store, new SeededRandom(2), log, gateway), new EndpointReader(store, new SeededRandom(3), log, gateway, LIST_INTERVAL_MS)]
+  await gateway.start()
+  const running = Promise.all(readers.map(r => r.run()))
+  running.catch(() => {})
+  const stop = (): void => {
+    readers.forEach(r => r.dispose())
+    gateway.dispose()
+    store.close()
+  }
+  return { gateway, port, stop }
+}
+
+async function call (port: number, path: string, more: Readonly<Record<string, string>> = {}, body = 'hello'): Promise<Answer> {
+  const headers = { host: 'a.example', 'attempt-id': `r${Math.random()}`, 'deadline-ms': '3000', authorization: 'Bearer k1', ...more }
+  return await new Promise((resolve, reject) => {
+    const req = request({ port, host: '127.0.0.1', method: 'POST', path, headers, agent: false }, res => {
+      let text = ''
+      res.on('data', chunk => { text += String(chunk) })
+      const end = (whole: boolean) => (): void => resolve({
+        status: res.statusCode ?? 0, body: text, signature: res.headers['server-signature'] as string | undefined, retryAfter: res.headers['retry-after'], whole
+      })
+      res.on('end', end(true))
+      res.on('error', end(false))
+    })
+    req.on('error', reject)
+    req.end(body)
+  })
+}
+
+function configuration (version: number, extra: readonly object[] = []): object {
+  const common = { host: 'a.example', service: 'pool', timeout_ms: 2_000, latency_goal_ms: 50, priority: 1 }
+  return {
+    version,
+    routes: [
+      { ...common, name: 'read', path_prefix: '/read/', route_kind: 'idempotent', max_attempts: 2 },
+      { ...common, name: 'write', path_prefix: '/write/', route_kind: 'non_idempotent', max_attempts: 1 },
+      { ...common, name: 'stream', path_prefix: '/stream/', route_kind: 'streaming', max_attempts: 1 },
+      { ...common, name: 'resumable', path_prefix: '/stream/again/', route_kind: 'streaming', resumable: true, max_attempts: 2 },
+      ...extra
+    ],
+    services: [{ name: 'pool', health_path: '/healthz', max_conns: 100 }],
+    limits: { max_header_bytes: 4_000, max_body_bytes: 1_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+    tenants: [{ name: 'looms', api_keys: ['k1'], priority: 1 }]
+  }
+}
+
+const EVENTS = [1, 2, 3, 4].map(i => `id: ${i}\ndata: token${i}\n\n`).join('')
+
+let store: PlatformStore
+let workers: readonly PlatformWorker[]
+let first: Running
+let storePort: number
+let peerPort: number
+const stops: Array<() => void> = []
+
+/** Sets the mood of the worker that a request of this path goes to first. */
+async function moodOfFirst (path: string, more: Readonly<Record<string, string>>, mood: WorkerMood): Promise<PlatformWorker> {
+  await call(first.port, path, more)
+  const served = workers.find(w => w.ran.length > 0)!
+  served.mood = mood
+  workers.forEach(w => { w.ran.length = 0 })
+  return served
+}
+
+beforeEach(async () => {
+  store = new PlatformStore()
+  storePort = await store.listen()
+  peerPort = await freePort()
+  workers = ['w1', 'w2'].map(id => new PlatformWorker(id))
+  for (const w of workers) await w.listen()
+  store.put('servers/w1', workers[0]!.entry('pool'))
+  store.put('servers/w2', workers[1]!.entry('pool'))
+  for (let i = 0; i < 6; i++) store.put(`servers/x${i}`, 'malformed')
+  store.put('op/config', configuration(7))
+  first = await startGateway(storePort, '127.0.0.1', peerPort, [])
+  stops.push(first.stop, () => store.close(), ...workers.map(w => () => w.close()))
+  await until(() => first.gateway.ready)
+})
+
+afterEach(() => { stops.splice(0).forEach(stop => stop()) })
+
+describe('the path of a request', () => {
+  it('passes the worker\'s answer on unchanged, and the caller\'s request with what the system adds', async () => {
+    const answer = await call(first.port, '/write/1', { 'attempt-id': 'r1', tenant: 'evil' })
+    expect(answer).toEqual({ status: 200, body: 'answer to r1: hello', signature: expect.stringMatching(/^w[12]\.r1$/), retryAfter: undefined, whole: true })
+    const { tenant, authorization, 'attempt-id': id, 'request-priority': priority } = workers.find(w => w.ran.length > 0)!.lastHeaders
+    expect({ tenant, authorization, id, priority }).toEqual({ tenant: 'looms', authorization: undefined, id: 'r1', priority: '1' })
+  })
+
+  it('refuses what the configuration does not allow', async () => {
+    const answers = [
+      await call(first.port, '/nowhere/'),
+      await call(first.port, '/read/1', { authorization: 'Bearer k2' }),
+      await call(first.port, '/read/1', {}, 'x'.repeat(1_001)),
+      await call(first.port, '/read/1', { 'x-long': 'x'.repeat(5_000) })
+    ]
+    expect([answers.map(a => a.status), workers.map(w => w.ran.length)]).toEqual([[404, 401, 413, 431], [0, 0]])
+  })
+
+  it('tries another worker when one refuses or loses the answer of a call that may be repeated', async () => {
+    for (const mood of ['full', 'losing', 'mute', 'confused'] as const) {
+      workers.forEach(w => { w.mood = 'well' })
+      workers[0]!.mood = mood
+      const statuses = []
+      for (let i = 0; i < 4; i++) statuses.push((await call(first.port, `/read/${i}`)).status)
+      expect([mood, statuses]).toEqual([mood, [200, 200, 200, 200]])
+    }
+  })
+
+  it('never repeats a call that may have run, and says then that it may have run', async () => {
+    for (const mood of ['losing', 'confused'] as const) {
+      workers.forEach(w => { w.mood = mood })
+      const before = workers.reduce((sum, w) => sum + w.ran.length, 0)
+      const answer = await call(first.port, '/write/1')
+      expect([mood, answer.status, workers.reduce((sum, w) => sum + w.ran.length, 0) - before]).toEqual([mood, 502, 1])
+    }
+  })
+
+  it('refuses as not run when all workers refuse, and says when to come back', async () => {
+    workers.forEach(w => { w.mood = 'full' })
+    const answer = await call(first.port, '/write/1')
+    expect([answer.status, answer.retryAfter, workers.map(w => w.ran.length)]).toEqual([503, '0.25', [0, 0]])
+  })
+
+  it('ends a call that is not answered at its route\'s timeout', async () => {
+    workers.forEach(w => { w.mood = 'mute' })
+    expect((await call(first.port, '/write/1', { 'deadline-ms': '300' })).status).toBe(504)
+  })
+})
+
+describe('streams', () => {
+  it('go on at another worker after the last whole event where that is allowed', async () => {
+    const torn = await moodOfFirst('/stream/again/1', PROMPT, 'tearing')
+    const answer = await call(first.port, '/stream/again/1', PROMPT)
+    expect([answer.body, answer.whole, answer.signature?.slice(0, 2)]).toEqual([EVENTS, true, torn === workers[0] ? 'w1' : 'w2'])
+  })
+
+  it('are broken off where it is not, so that they do not look whole', async () => {
+    await moodOfFirst('/stream/1', PROMPT, 'tearing')
+    const answer = await call(first.port, '/stream/1', PROMPT)
+    expect([answer.whole, workers.reduce((sum, w) => sum + w.ran.length, 0)]).toEqual([false, 1])
+  })
+
+  it('are cancelled at the worker when the caller leaves', async () => {
+    workers.forEach(w => { w.mood = 'mute' })
+    const headers = { host: 'a.example', 'attempt-id': 'r', 'deadline-ms': '3000', authorization: 'Bearer k1', ...PROMPT }
+    const req = request({ port: first.port, host: '127.0.0.1', method: 'POST', path: '/stream/1', headers, agent: false })
+    req.on('error', () => {})
+    req.end()
+    await until(() => workers.some(w => w.ran.length > 0))
+    req.destroy()
+    await until(() => workers.some(w => w.cancelled > 0))
+  })
+})
+
+describe('what the platform publishes', () => {
+  it('takes effect: a leaving worker gets nothing new, a new configuration holds', async () => {
+    store.put('servers/w1', workers[0]!.entry('pool', 'draining'))
+    store.put('op/config', configuration(9, [{ name: 'new', host: 'a.example', path_prefix: '/new/', service: 'pool', route_kind: 'idempotent', timeout_ms: 1_000, latency_goal_ms: 50, priority: 1, max_attempts: 1 }]))
+    await until(() => first.gateway.configRevision === 9)
+    await sleep(2 * LIST_INTERVAL_MS + SETTLE_MS)
+    workers.forEach(w => { w.ran.length = 0 })
+    for (let i = 0; i < 6; i++) await call(first.port, `/new/${i}`)
+    expect(workers.map(w => w.ran.length)).toEqual([0, 6])
+  })
+
+  it('never leads back to an earlier configuration', async () => {
+    store.put('op/config', configuration(5))
+    store.put('op/config', 'unreadable')
+    await sleep(SETTLE_MS)
+    expect(first.gateway.configRevision).toBe(7)
+  })
+
+  it('is missed without harm: requests go on while the store refuses, and a forgotten history is read anew', async () => {
+    store.mood = 'refuses'
+    await sleep(3 * LIST_INTERVAL_MS)
+    expect((await call(first.port, '/write/1')).status).toBe(200)
+    store.compact()
+    store.mood = 'serves'
+    store.put('op/config', configuration(11))
+    await until(() => first.gateway.configRevision === 11)
+  })
+
+  it('reaches a gateway that the store turns away, through a peer', async () => {
+    const dark = new PlatformStore()
+    const darkPort = await dark.listen()
+    dark.mood = 'refuses'
+    const second = await startGateway(darkPort, '127.0.0.2', peerPort, ['127.0.0.1'])
+    stops.push(second.stop, () => dark.close())
+    await until(() => second.gateway.ready)
+    expect((await call(second.port, '/write/1')).status).toBe(200)
+    store.put('op/config', configuration(12))
+    await until(() => second.gateway.configRevision === 12)
+  })
+})
