--- a/src/common/config/ConfigJoin.ts
+++ b/src/common/config/ConfigJoin.ts
@@ -14,6 +14,13 @@
   readonly file: VotedFile
 }
 
+/** The file in force as an instance offers it to others: the hashes of its parts, in order. */
+export interface ConfigManifest {
+  readonly revision: number
+  readonly digest: string
+  readonly manifest: readonly string[]
+}
+
 /** Why a revision is not in force. */
 export interface RefusedVersion {
   readonly revision: number
--- a/src/ctl/FleetClient.ts
+++ b/src/ctl/FleetClient.ts
@@ -1,6 +1,6 @@
 /** Reads the state of all instances, found through any one of them. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import { createPeerApiClient, type NodeStatus, type PeerApiClient } from '../router/PeerApi.js'
+import { createPeerApiClient, type NodeStatus, type PeerApiClient } from '../router/fleet/PeerApi.js'
 
 /** Why an instance gave no answer. */
 export interface FleetError {
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -7,7 +7,7 @@
 import { EndpointTable } from '../common/routing/EndpointTable.js'
 import { endpointKey, type Endpoint, type EndpointList } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
-import type { Log } from '../router/Log.js'
+import type { Log } from '../router/telemetry/Log.js'
 import { EndpointAgent } from './EndpointAgent.js'
 
 const TOLD_FRESH_MS = 1_500
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -10,10 +10,10 @@
 import { readerOf } from '../common/peers/ReadDuty.js'
 import type { IClock, IEvent, IRandom } from '../common/Services.js'
 import type { InstanceAddress } from '../common/Types.js'
-import { DatagramCodec } from '../router/DatagramCodec.js'
-import type { Log } from '../router/Log.js'
+import { DatagramCodec } from '../router/fleet/DatagramCodec.js'
+import type { Log } from '../router/telemetry/Log.js'
 import type { IHolderPeers } from './HolderTask.js'
-import { PeerSocket, type IControlCounter } from '../router/PeerSocket.js'
+import { PeerSocket, type IControlCounter } from '../router/fleet/PeerSocket.js'
 
 const TICK_MS = 100
 const NEWS_INTERVAL_MS = 250
--- a/src/gateway/RequestLog.ts
+++ b/src/gateway/RequestLog.ts
@@ -1,7 +1,7 @@
 /** One line for each request, at a bounded rate; lines left out are counted and told with the next one. */
 import { TokenBucket } from '../common/limits/TokenBucket.js'
 import type { IClock } from '../common/Services.js'
-import type { Log } from '../router/Log.js'
+import type { Log } from '../router/telemetry/Log.js'
 
 const LINES_PER_SEC = 40
 const BURST_LINES = 200
--- a/src/gateway/StatusServer.ts
+++ b/src/gateway/StatusServer.ts
@@ -3,7 +3,7 @@
 import { Hono } from 'hono/tiny'
 import { getRequestListener } from '@hono/node-server'
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import { listen } from '../router/CallerHttp.js'
+import { listen } from '../router/callers/CallerHttp.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
 /** What the server tells. */
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -3,7 +3,7 @@
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
 import { Disposable } from '../common/Disposable.js'
 import type { IRandom } from '../common/Services.js'
-import type { Log } from '../router/Log.js'
+import type { Log } from '../router/telemetry/Log.js'
 import { CONFIG_KEY, configOf, ENDPOINT_PREFIX, endpointOf } from './Records.js'
 import type { StoreClient, StoreError, StoreItem, StoreRead } from './StoreClient.js'
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,8 +4,8 @@
 import { SeededRandom } from '../common/SeededRandom.js'
 import { Gateway } from '../gateway/Gateway.js'
 import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
-import { SystemClock } from '../router/Clock.js'
-import { createLog, type Log } from '../router/Log.js'
+import { SystemClock } from '../router/telemetry/Clock.js'
+import { createLog, type Log } from '../router/telemetry/Log.js'
 import { RequestCodec } from './RequestCodec.js'
 import { loadSettings, type PlatformSettings } from './Settings.js'
 import { StoreClient } from './StoreClient.js'
@@ -50,10 +50,30 @@
   log.flush(() => process.exit(code))
 }
 
-const path = process.env.RADISHLOFT_CONFIG ?? ''
-const settings = loadSettings(path)
+/** What the command line asks for. */
+interface Flags {
+  readonly settings: string
+  readonly checkSettings?: boolean
+}
+
+/** Reads the command line. The parser is loaded only when there are flags: the platform gives none, and memory counts. */
+async function flagsOf (args: readonly string[]): Promise<Flags> {
+  const settings = process.env.RADISHLOFT_CONFIG ?? ''
+  if (args.length === 0) return { settings }
+  const { Command } = await import('commander')
+  return new Command('radishloft-gateway')
+    .description('One entry instance of the radishloft gateway fleet on the users\' platform')
+    .option('--settings <file>', 'settings file that the platform writes', settings)
+    .option('--check-settings', 'check the settings and exit')
+    .parse(args, { from: 'user' })
+    .opts<Flags>()
+}
+
+const flags = await flagsOf(process.argv.slice(2))
+const settings = loadSettings(flags.settings)
 if (settings.isErr()) {
   console.error(JSON.stringify(settings.error))
   process.exit(EXIT_BAD_SETTINGS)
 }
-await run(path, settings.value)
+if (flags.checkSettings === true) console.log('settings are valid')
+else await run(flags.settings, settings.value)
--- a/src/router/Allowances.ts
+++ b/src/router/callers/Allowances.ts
@@ -1,15 +1,15 @@
 /** Task that admits requests by account: takes admissions from the account's owner, or spends the floor when it is silent. */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { ClientAccount, VotedConfig } from '../common/config/VotedConfig.js'
-import type { AllowanceDatagram } from '../common/generated/PeerDatagram.js'
-import { AllowanceOwner } from '../common/limits/AllowanceOwner.js'
-import { AllowancePurse } from '../common/limits/AllowancePurse.js'
-import { hashString } from '../common/Hash.js'
-import { rankTop, type RendezvousCandidate } from '../common/Rendezvous.js'
-import type { IClock } from '../common/Services.js'
-import type { Fleet } from './Fleet.js'
-import type { PeerSocket } from './PeerSocket.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import type { ClientAccount, VotedConfig } from '../../common/config/VotedConfig.js'
+import type { AllowanceDatagram } from '../../common/generated/PeerDatagram.js'
+import { AllowanceOwner } from '../../common/limits/AllowanceOwner.js'
+import { AllowancePurse } from '../../common/limits/AllowancePurse.js'
+import { hashString } from '../../common/Hash.js'
+import { rankTop, type RendezvousCandidate } from '../../common/Rendezvous.js'
+import type { IClock } from '../../common/Services.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import type { PeerSocket } from '../fleet/PeerSocket.js'
 
 const GRANT_TIMEOUT_MS = 400 // longer than a round trip between regions
 const SILENT_MS = 1_000 // an owner that did not answer is not asked again at once
--- a/src/router/CallerAuth.ts
+++ b/src/router/callers/CallerAuth.ts
@@ -1,8 +1,8 @@
 /** Finds the client account of a bearer key. */
 import { err, ok, type Result } from 'neverthrow'
-import type { ClientAccount, VotedConfig } from '../common/config/VotedConfig.js'
-import { routeError, type RouteError } from '../common/Errors.js'
-import { constantTimeEqual, sha256 } from './Crypto.js'
+import type { ClientAccount, VotedConfig } from '../../common/config/VotedConfig.js'
+import { routeError, type RouteError } from '../../common/Errors.js'
+import { constantTimeEqual, sha256 } from '../fleet/Crypto.js'
 
 const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i
 const CACHE_SIZE = 4_096 // hashing a key costs more than the look-up
--- a/src/router/CallerHttp.ts
+++ b/src/router/callers/CallerHttp.ts
@@ -1,8 +1,8 @@
 /** Helpers of the HTTP listeners. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { HEADER, REQUEST_TIMEOUT_MS } from '../common/Constants.js'
-import { ERROR_CODES, errorBody, routeError, type RouteError } from '../common/Errors.js'
+import { HEADER, REQUEST_TIMEOUT_MS } from '../../common/Constants.js'
+import { ERROR_CODES, errorBody, routeError, type RouteError } from '../../common/Errors.js'
 
 const BACKLOG = 4_096
 
--- a/src/router/RequestBody.ts
+++ b/src/router/callers/RequestBody.ts
@@ -1,7 +1,7 @@
 /** Reads request bodies whole, within a limit. */
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { routeError, type RouteError } from '../common/Errors.js'
+import { routeError, type RouteError } from '../../common/Errors.js'
 
 /** Reads a body; one that is too long is left unread, one that stops half way is an error. */
 export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
--- a/src/router/RequestId.ts
+++ b/src/router/callers/RequestId.ts
@@ -1,6 +1,6 @@
 /** Ids of chats: they carry the chat's key and model, so that any entry can find the answer again with no store. */
-import { hashString } from '../common/Hash.js'
-import { randomId } from './Crypto.js'
+import { hashString } from '../../common/Hash.js'
+import { randomId } from '../fleet/Crypto.js'
 
 const REQUEST_ID = /^chat~([0-9a-z]{1,7})~([0-9a-z]{1,7})~([0-9a-z]{1,7})~[A-Za-z0-9_-]{8,32}$/
 
--- a/src/router/ConfigTask.ts
+++ b/src/router/configuration/ConfigTask.ts
@@ -3,21 +3,21 @@
  * revision in a peer's digest and fetch the parts they lack from that peer. Nothing is ever written.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Disposable } from '../common/Disposable.js'
-import { Emitter } from '../common/Emitter.js'
-import { joinVersions, supersedes, type ConfigVersion, type RefusedVersion } from '../common/config/ConfigJoin.js'
-import { joinParts, splitText, type PartedFile } from '../common/config/ConfigParts.js'
-import { checkFileText } from '../common/config/FileChecks.js'
-import { VotedConfig } from '../common/config/VotedConfig.js'
-import type { InstanceDigest } from '../common/generated/PeerDatagram.js'
-import { hashString } from '../common/Hash.js'
-import { rankTop } from '../common/Rendezvous.js'
-import type { IClock } from '../common/Services.js'
-import { sha256 } from './Crypto.js'
-import type { Fleet } from './Fleet.js'
-import type { Log } from './Log.js'
-import type { Metrics } from './Metrics.js'
-import type { PeerApiClients } from './PeerApi.js'
+import { Disposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
+import { joinVersions, supersedes, type ConfigManifest, type ConfigVersion, type RefusedVersion } from '../../common/config/ConfigJoin.js'
+import { joinParts, splitText, type PartedFile } from '../../common/config/ConfigParts.js'
+import { checkFileText } from '../../common/config/FileChecks.js'
+import { VotedConfig } from '../../common/config/VotedConfig.js'
+import type { InstanceDigest } from '../../common/generated/PeerDatagram.js'
+import { hashString } from '../../common/Hash.js'
+import { rankTop } from '../../common/Rendezvous.js'
+import type { IClock } from '../../common/Services.js'
+import { sha256 } from '../fleet/Crypto.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import type { Log } from '../telemetry/Log.js'
+import type { Metrics } from '../telemetry/Metrics.js'
+import type { PeerApiClients } from '../fleet/PeerApi.js'
 import type { PlatformClient } from './PlatformClient.js'
 
 const WATCH_MS = 20_000
@@ -28,13 +28,6 @@
 const PART_HASH_LENGTH = 12 // 72 bits; the digest of the whole file is checked as well
 const START_ATTEMPTS = 10
 
-/** What a peer offers. */
-export interface ConfigManifest {
-  readonly revision: number
-  readonly digest: string
-  readonly manifest: readonly string[]
-}
-
 export class ConfigTask extends Disposable {
   readonly #clock: IClock
   readonly #platform: PlatformClient
--- a/src/router/ListTask.ts
+++ b/src/router/configuration/ListTask.ts
@@ -1,9 +1,9 @@
 /** Task that follows the platform's list of instances and endpoints, and asks peers while the platform is down. */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Disposable } from '../common/Disposable.js'
-import type { IRandom } from '../common/Services.js'
-import type { Fleet } from './Fleet.js'
-import type { PeerApiClients } from './PeerApi.js'
+import { Disposable } from '../../common/Disposable.js'
+import type { IRandom } from '../../common/Services.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import type { PeerApiClients } from '../fleet/PeerApi.js'
 import type { PlatformClient } from './PlatformClient.js'
 
 const WATCH_MS = 25_000
--- a/src/router/PlatformClient.ts
+++ b/src/router/configuration/PlatformClient.ts
@@ -1,9 +1,9 @@
 /** Reads the platform: configuration, instance list. Every call is counted, as the platform limits them. */
 import { err, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
-import type { PlatformList } from '../common/Types.js'
-import type { LinkFilter } from './LinkFilter.js'
-import type { Metrics } from './Metrics.js'
+import type { PlatformList } from '../../common/Types.js'
+import type { LinkFilter } from '../fleet/LinkFilter.js'
+import type { Metrics } from '../telemetry/Metrics.js'
 
 const ANSWER_TIMEOUT_MS = 3_000
 
--- a/src/router/ChatSession.ts
+++ b/src/router/engines/ChatSession.ts
@@ -3,18 +3,18 @@
  * breaks off reads on from the next event: on the same engine, else, where the chat may be repeated, on
  * another one. The caller sees no gap, no duplicate and one end.
  */
-import { MAX_PLACEMENT_ATTEMPTS } from '../common/Constants.js'
-import type { VotedConfig } from '../common/config/VotedConfig.js'
-import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
-import type { RetryBudget } from '../common/limits/RetryBudget.js'
-import { UNAVAILABLE } from '../common/placement/LoadView.js'
-import { ChatAssembler } from '../common/sse/ChatAssembler.js'
-import type { IClock } from '../common/Services.js'
+import { MAX_PLACEMENT_ATTEMPTS } from '../../common/Constants.js'
+import type { VotedConfig } from '../../common/config/VotedConfig.js'
+import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../../common/Errors.js'
+import type { RetryBudget } from '../../common/limits/RetryBudget.js'
+import { UNAVAILABLE } from '../../common/placement/LoadView.js'
+import { ChatAssembler } from '../../common/sse/ChatAssembler.js'
+import type { IClock } from '../../common/Services.js'
 import type { Endpoints } from './Endpoints.js'
-import type { Fleet } from './Fleet.js'
+import type { Fleet } from '../fleet/Fleet.js'
 import { rankEngines } from './LocalHome.js'
-import type { Metrics } from './Metrics.js'
-import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome } from './Types.js'
+import type { Metrics } from '../telemetry/Metrics.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome } from '../Types.js'
 
 const RECOVER_DELAYS_MS = [50, 300, 1_000, 2_500] as const // the last is past the time in which a dead home is noticed
 const MAX_REPLAYS = 3
--- a/src/router/EndpointFeed.ts
+++ b/src/router/engines/EndpointFeed.ts
@@ -1,11 +1,11 @@
 /** Task that reads one endpoint's feed of load reports and cache events, and reconnects when it breaks. */
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import { Emitter } from '../common/Emitter.js'
-import type { EndpointInfo } from '../common/config/VotedConfig.js'
-import type { LoadReport } from '../common/placement/EndpointLoad.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
+import type { EndpointInfo } from '../../common/config/VotedConfig.js'
+import type { LoadReport } from '../../common/placement/EndpointLoad.js'
 import type { Dispatcher } from 'undici'
 import { startExchange, type HttpExchange } from './HttpStream.js'
-import type { LinkFilter } from './LinkFilter.js'
+import type { LinkFilter } from '../fleet/LinkFilter.js'
 
 const RECONNECT_MS = 300
 const SILENCE_MS = 5_000 // a feed this quiet is opened anew
--- a/src/router/Endpoints.ts
+++ b/src/router/engines/Endpoints.ts
@@ -1,16 +1,16 @@
 /** Task that owns the loads of the endpoints this node is home of, and of those it was asked to serve meanwhile. */
 import { Agent } from 'undici'
-import { ENDPOINT_LOAD_TIMEOUT_MS } from '../common/Constants.js'
-import type { EndpointInfo, VotedConfig } from '../common/config/VotedConfig.js'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import { Emitter } from '../common/Emitter.js'
-import type { InstanceDigest } from '../common/generated/PeerDatagram.js'
-import { EndpointLoad } from '../common/placement/EndpointLoad.js'
-import type { ILoadView } from '../common/placement/LoadView.js'
-import type { IClock } from '../common/Services.js'
+import { ENDPOINT_LOAD_TIMEOUT_MS } from '../../common/Constants.js'
+import type { EndpointInfo, VotedConfig } from '../../common/config/VotedConfig.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
+import type { InstanceDigest } from '../../common/generated/PeerDatagram.js'
+import { EndpointLoad } from '../../common/placement/EndpointLoad.js'
+import type { ILoadView } from '../../common/placement/LoadView.js'
+import type { IClock } from '../../common/Services.js'
 import { EndpointFeed } from './EndpointFeed.js'
-import type { Fleet } from './Fleet.js'
-import type { LinkFilter } from './LinkFilter.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import type { LinkFilter } from '../fleet/LinkFilter.js'
 
 const FIRST_REPORT_MS = 500 // wait for a report of an endpoint that this node was not home of
 const SWEEP_MS = 250
--- a/src/router/EngineClient.ts
+++ b/src/router/engines/EngineClient.ts
@@ -1,12 +1,12 @@
 /** Client of one engine: streams an answer, resumes it from the next event when the connection breaks, cancels it. */
 import type { Dispatcher } from 'undici'
-import { HEADER } from '../common/Constants.js'
-import type { EndpointInfo } from '../common/config/VotedConfig.js'
-import { routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
-import { SseFramer } from '../common/sse/SseFramer.js'
+import { HEADER } from '../../common/Constants.js'
+import type { EndpointInfo } from '../../common/config/VotedConfig.js'
+import { routeError, type ErrorCode, type RouteError } from '../../common/Errors.js'
+import { SseFramer } from '../../common/sse/SseFramer.js'
 import { startExchange, type HttpExchange } from './HttpStream.js'
-import type { LinkFilter } from './LinkFilter.js'
-import type { ChatCall } from './Types.js'
+import type { LinkFilter } from '../fleet/LinkFilter.js'
+import type { ChatCall } from '../Types.js'
 
 const RESUME_DELAYS_MS = [20, 200, 600] as const
 const HEADERS_TIMEOUT_MS = 10_000
--- a/src/router/Orders.ts
+++ b/src/router/engines/Orders.ts
@@ -3,8 +3,8 @@
  * milliseconds, but always above the highest number that the endpoint itself reported.
  */
 import { request } from 'undici'
-import type { VotedConfig } from '../common/config/VotedConfig.js'
-import type { IClock } from '../common/Services.js'
+import type { VotedConfig } from '../../common/config/VotedConfig.js'
+import type { IClock } from '../../common/Services.js'
 import type { Endpoints } from './Endpoints.js'
 
 const ORDER_TIMEOUT_MS = 3_000
--- a/src/router/RemoteHome.ts
+++ b/src/router/engines/RemoteHome.ts
@@ -1,13 +1,13 @@
 /** Home on a peer: streamed bodies go over plain HTTP, as tRPC has no cheap way to pass bytes on unparsed. */
 import { Agent } from 'undici'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import { HEADER } from '../common/Constants.js'
-import { routeError } from '../common/Errors.js'
-import { SseFramer } from '../common/sse/SseFramer.js'
-import type { InstanceAddress } from '../common/Types.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import { HEADER } from '../../common/Constants.js'
+import { routeError } from '../../common/Errors.js'
+import { SseFramer } from '../../common/sse/SseFramer.js'
+import type { InstanceAddress } from '../../common/Types.js'
 import { startExchange, type HttpExchange, type HttpRequest } from './HttpStream.js'
-import type { LinkFilter } from './LinkFilter.js'
-import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall } from './Types.js'
+import type { LinkFilter } from '../fleet/LinkFilter.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall } from '../Types.js'
 
 const CONNECT_TIMEOUT_MS = 1_000
 const HEADERS_TIMEOUT_MS = 15_000 // an engine may think this long before it accepts
--- a/src/router/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -2,8 +2,8 @@
 import { timingSafeEqual } from 'node:crypto'
 import { Packr } from 'msgpackr'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, HolderDatagram, InstanceDigest, MemberRumour, NewsDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../common/generated/PeerDatagram.js'
-import { checkPeerDatagram, formatErrors } from '../common/Schema.js'
+import type { AllowanceDatagram, HolderDatagram, InstanceDigest, MemberRumour, NewsDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
+import { checkPeerDatagram, formatErrors } from '../../common/Schema.js'
 import { hmac } from './Crypto.js'
 
 const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news', 'askHolder', 'tellHolder'] as const
--- a/src/router/PeerApi.ts
+++ b/src/router/fleet/PeerApi.ts
@@ -1,12 +1,11 @@
 /** tRPC between routers and for operators: small questions and answers. Streamed bodies go over plain HTTP. */
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { initTRPC, TRPCError } from '@trpc/server'
-import { HEADER } from '../common/Constants.js'
-import type { RefusedVersion } from '../common/config/ConfigJoin.js'
-import type { ChatEntry } from '../common/placement/ChatDirectory.js'
-import type { InstanceAddress, MemberState, PlatformList } from '../common/Types.js'
+import { HEADER } from '../../common/Constants.js'
+import type { ConfigManifest, RefusedVersion } from '../../common/config/ConfigJoin.js'
+import type { ChatEntry } from '../../common/placement/ChatDirectory.js'
+import type { InstanceAddress, MemberState, PlatformList } from '../../common/Types.js'
 import { constantTimeEqual } from './Crypto.js'
-import type { ConfigManifest } from './ConfigTask.js'
 import type { Fleet } from './Fleet.js'
 import type { LinkFilter } from './LinkFilter.js'
 
--- a/src/router/PeerServer.ts
+++ b/src/router/fleet/PeerServer.ts
@@ -1,18 +1,18 @@
 /** Listener for peers and operators: chats and service calls over plain HTTP, everything else over tRPC. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
-import { HEADER } from '../common/Constants.js'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { RouteError } from '../common/Errors.js'
-import { headerOf, listen } from './CallerHttp.js'
+import { HEADER } from '../../common/Constants.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import type { RouteError } from '../../common/Errors.js'
+import { headerOf, listen } from '../callers/CallerHttp.js'
 import { constantTimeEqual } from './Crypto.js'
-import type { Log } from './Log.js'
-import type { Metrics } from './Metrics.js'
+import type { Log } from '../telemetry/Log.js'
+import type { Metrics } from '../telemetry/Metrics.js'
 import { apiContext, createPeerApi, type IPeerApiHost } from './PeerApi.js'
-import { readBody } from './RequestBody.js'
-import type { ServiceRunner } from './ServiceRunner.js'
-import type { Tracing } from './Tracing.js'
-import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall, ServiceCallMessage } from './Types.js'
+import { readBody } from '../callers/RequestBody.js'
+import type { ServiceRunner } from '../services/ServiceRunner.js'
+import type { Tracing } from '../telemetry/Tracing.js'
+import type { ChatCall, HomeReply, IChatRun, IChatSink, IHome, ResumeCall, ServiceCallMessage } from '../Types.js'
 
 const KEEP_ALIVE_MS = 60_000
 
--- a/src/router/PeerSocket.ts
+++ b/src/router/fleet/PeerSocket.ts
@@ -1,9 +1,9 @@
 /** UDP socket of the membership protocol: owns the socket, counts its bytes, drops what is not signed. */
 import { createSocket, type Socket } from 'node:dgram'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import { Emitter } from '../common/Emitter.js'
-import type { PeerDatagram } from '../common/generated/PeerDatagram.js'
-import type { InstanceAddress } from '../common/Types.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import { Emitter } from '../../common/Emitter.js'
+import type { PeerDatagram } from '../../common/generated/PeerDatagram.js'
+import type { InstanceAddress } from '../../common/Types.js'
 import type { DatagramCodec } from './DatagramCodec.js'
 
 /** Decides which links pass; a test cuts some. */
--- a/src/router/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -1,12 +1,12 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import type { PeerDatagram } from '../common/generated/PeerDatagram.js'
-import { sampleFile } from '../common/TestUtils.test.js'
-import { VotedConfig } from '../common/config/VotedConfig.js'
-import { CallerAuth } from './CallerAuth.js'
+import type { PeerDatagram } from '../../common/generated/PeerDatagram.js'
+import { sampleFile } from '../../common/TestUtils.test.js'
+import { VotedConfig } from '../../common/config/VotedConfig.js'
+import { CallerAuth } from '../callers/CallerAuth.js'
 import { sha256 } from './Crypto.js'
 import { DatagramCodec } from './DatagramCodec.js'
-import { createRequestId, modelHash, parseRequestId } from './RequestId.js'
+import { createRequestId, modelHash, parseRequestId } from '../callers/RequestId.js'
 
 const name = fc.stringMatching(/^[a-z0-9.-]{1,20}$/)
 const count = fc.nat()
--- a/src/router/main.ts
+++ b/src/router/main.ts
@@ -2,8 +2,8 @@
 /** `radishloft-router`: one entry instance. Exit codes: 0 stopped, 1 failed while running, 2 bad settings. */
 import { Command, Option } from 'commander'
 import { SeededRandom } from '../common/SeededRandom.js'
-import { SystemClock } from './Clock.js'
-import { createLog } from './Log.js'
+import { SystemClock } from './telemetry/Clock.js'
+import { createLog } from './telemetry/Log.js'
 import { Router } from './Router.js'
 import { loadSettings, type FullSettings } from './Settings.js'
 
--- a/src/router/KeyOwner.ts
+++ b/src/router/services/KeyOwner.ts
@@ -2,19 +2,19 @@
  * Task that owns this node's idempotency keys: the lease that lets it act for keys of its data centre, the
  * tickets that it issued, and the ledger of what ran.
  */
-import { CLOCK_SKEW_MS, KEY_RETENTION_MS, LEASE_MS, LEASE_PING_INTERVAL_MS } from '../common/Constants.js'
-import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { OwnershipDatagram } from '../common/generated/PeerDatagram.js'
-import { digestOfSet } from '../common/Hash.js'
-import { decideKey, type KeyAction, type KeyTimes } from '../common/once/KeyDecision.js'
-import { initialLease, keyRight, withConsent, withList, type KeyLease, type KeyRight, type LeaseTimes } from '../common/once/KeyLease.js'
-import { KeyLedger } from '../common/once/KeyLedger.js'
-import { formatTicket, mintTimeOf, parseTicket, scopedKey, type TicketName } from '../common/once/KeyNames.js'
-import { ownerOf } from '../common/Rendezvous.js'
-import type { IClock } from '../common/Services.js'
-import { randomId } from './Crypto.js'
-import type { Fleet } from './Fleet.js'
-import type { PeerSocket } from './PeerSocket.js'
+import { CLOCK_SKEW_MS, KEY_RETENTION_MS, LEASE_MS, LEASE_PING_INTERVAL_MS } from '../../common/Constants.js'
+import { Disposable, toDisposable } from '../../common/Disposable.js'
+import type { OwnershipDatagram } from '../../common/generated/PeerDatagram.js'
+import { digestOfSet } from '../../common/Hash.js'
+import { decideKey, type KeyAction, type KeyTimes } from '../../common/once/KeyDecision.js'
+import { initialLease, keyRight, withConsent, withList, type KeyLease, type KeyRight, type LeaseTimes } from '../../common/once/KeyLease.js'
+import { KeyLedger } from '../../common/once/KeyLedger.js'
+import { formatTicket, mintTimeOf, parseTicket, scopedKey, type TicketName } from '../../common/once/KeyNames.js'
+import { ownerOf } from '../../common/Rendezvous.js'
+import type { IClock } from '../../common/Services.js'
+import { randomId } from '../fleet/Crypto.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import type { PeerSocket } from '../fleet/PeerSocket.js'
 
 const LEASE_TIMES: LeaseTimes = { leaseMs: LEASE_MS }
 const KEY_TIMES: KeyTimes = { skewMs: CLOCK_SKEW_MS, retentionMs: KEY_RETENTION_MS }
--- a/src/router/Clock.ts
+++ b/src/router/telemetry/Clock.ts
@@ -1,5 +1,5 @@
 /** Clock of the process. */
-import type { IClock } from '../common/Services.js'
+import type { IClock } from '../../common/Services.js'
 
 export class SystemClock implements IClock {
   readonly #wallAtStart = Date.now() - performance.now()
--- a/src/router/Log.ts
+++ b/src/router/telemetry/Log.ts
@@ -1,6 +1,6 @@
 /** JSON lines by pino. */
 import { destination, pino, type Logger } from 'pino'
-import type { FullSettings } from './Settings.js'
+import type { FullSettings } from '../Settings.js'
 
 export type Log = Logger
 
--- a/src/router/Tracing.ts
+++ b/src/router/telemetry/Tracing.ts
@@ -1,7 +1,7 @@
 /** Spans of each hop in OpenTelemetry's model, written as JSON lines; W3C `traceparent` is taken in and passed on. */
 import { ROOT_CONTEXT, SpanKind, TraceFlags, trace, type Span, type SpanContext, type Tracer } from '@opentelemetry/api'
 import { BasicTracerProvider, SimpleSpanProcessor, type ReadableSpan, type SpanExporter } from '@opentelemetry/sdk-trace-base'
-import type { IRandom } from '../common/Services.js'
+import type { IRandom } from '../../common/Services.js'
 import type { Log } from './Log.js'
 
 const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/
