Date the list of endpoints by the start of its read, and read it more often

A read's answer counted as new when it came, though it may be as old as its question (up to the old timeout of 1.5 s), and instances without news read only after 0.88 of the bound. Change: age from the start of the read, timeout 0.8 s, readers each 0.33 and others after 0.53 to 0.6 of the bound.

--- a/src/common/peers/ReadDuty.ts
+++ b/src/common/peers/ReadDuty.ts
@@ -6,8 +6,8 @@
 import { hashString } from '../Hash.js'
 import { rankTop } from '../Rendezvous.js'
 
-const FALLBACK_PART = 1.35 // of the reader's interval: time for a late reader and for the news to spread
-const FALLBACK_SPREAD = 0.25 // of the interval, so that not all fall back at the same moment
+const FALLBACK_PART = 1.6 // of the reader's interval: time for a late reader and for the news to spread
+const FALLBACK_SPREAD = 0.2 // of the interval, so that not all fall back at the same moment
 
 /** The instance that reads `topic` for `ids`, the live instances of a data centre; undefined when there are none. */
 export function readerOf (topic: string, ids: readonly string[]): string | undefined {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -122,9 +122,9 @@
     this.#config.confirm()
   }
 
-  /** Takes the list of endpoints in, just read from the platform. */
-  offerEndpoints (list: EndpointList): void {
-    this.#takeEndpoints(list, 0)
+  /** Takes the list of endpoints in, as the platform gave it. @param ageMs time since the read began. */
+  offerEndpoints (list: EndpointList, ageMs: number): void {
+    this.#takeEndpoints(list, ageMs)
   }
 
   /** True when this gateway waits for configurations on behalf of its data centre. */
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -4,7 +4,7 @@
 import type { GatewayMetrics } from '../gateway/GatewayMetrics.js'
 import { getWhole } from '../gateway/HttpCall.js'
 
-const READ_TIMEOUT_MS = 1_500
+const READ_TIMEOUT_MS = 800 // a read that takes longer is made anew on another connection
 const WATCH_MARGIN_MS = 700 // beyond the wait that was asked for
 const MAX_PAGES = 100
 
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -24,7 +24,8 @@
   offerConfig (config: RoutingConfig): void
   /** Nothing newer was published than what was offered before. */
   confirmConfig (): void
-  offerEndpoints (list: EndpointList): void
+  /** @param ageMs time since the read began: an answer that came late is as old as its question. */
+  offerEndpoints (list: EndpointList, ageMs: number): void
 }
 
 /** Common part: backs off after failures and logs each loss and return of the store once. */
@@ -123,12 +124,14 @@
   protected override async step (): Promise<number> {
     const waitMs = this.#receiver.listWaitMs(this.#intervalMs)
     if (waitMs > 0) return Math.min(POLL_MS, waitMs)
+    const startedAt = performance.now()
     const read = await this.store.range(ENDPOINT_PREFIX)
     if (read.isErr()) return this.failed(read.error)
     this.succeeded()
     const malformed = read.value.items.filter(item => endpointOf(item) === undefined)
     this.#noteMalformed(malformed)
-    this.#receiver.offerEndpoints({ revision: read.value.at, endpoints: read.value.items.map(endpointOf).filter(e => e !== undefined) })
+    const endpoints = read.value.items.map(endpointOf).filter(e => e !== undefined)
+    this.#receiver.offerEndpoints({ revision: read.value.at, endpoints }, performance.now() - startedAt)
     return 0
   }
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -14,7 +14,7 @@
 const EXIT_FAILED = 1
 const EXIT_BAD_SETTINGS = 2
 const SETTINGS_CHECK_MS = 5_000 // the file may change without a signal
-const LIST_INTERVAL_PART = 0.55 // of the time in which a leaving endpoint must be noticed
+const LIST_INTERVAL_PART = 0.33 // of the time in which a leaving endpoint must be noticed; leaves room for a failed read
 
 async function run (path: string, settings: PlatformSettings): Promise<void> {
   const { gateway: own, store: at, drainMs } = settings
