Date a stated load by its answer's head; bound the lines of refusals

Cause, found by reading: the load that a stream's head states was recorded at the stream's end, seconds late, and refusals were logged without a bound.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -54,18 +54,6 @@
     this.#heard()
   }
 
-  get head (): AnswerHead | undefined {
-    return this.#head
-  }
-
-  get sent (): boolean {
-    return this.#exchange.sent
-  }
-
-  get reused (): boolean {
-    return this.#exchange.reused
-  }
-
   /** Ends it from this side. */
   stop (): void {
     this.#settle({ kind: 'stopped', sent: this.#exchange.sent })
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -53,11 +53,6 @@
     return this.#sent
   }
 
-  /** True when it went out on a connection that an earlier request had used. */
-  get reused (): boolean {
-    return this.#req.reusedSocket
-  }
-
   /** Ends the exchange and its connection. */
   abort (): void {
     if (this.#over) return
--- a/src/gateway/FrontServer.ts
+++ b/src/gateway/FrontServer.ts
@@ -118,10 +118,11 @@
   }
 
   #refuse (reply: CallerReply, request: RoutedRequest | undefined, error: RouteError): void {
-    const { codec, metrics, systemLog } = this.#services
+    const { codec, metrics, log } = this.#services
+    const { code, step, detail } = error
     reply.refuse(error, codec.refusal(request, error.retryAfterMs))
-    metrics.requests.inc({ kind: 'refused', status: String(reply.status), code: error.code })
-    systemLog.info({ step: error.step, requestId: request?.id ?? '', host: request?.host, path: request?.path, code: error.code, detail: error.detail, status: reply.status }, 'refused')
+    metrics.requests.inc({ kind: 'refused', status: String(reply.status), code })
+    log.refused({ step, requestId: request?.id ?? '', host: request?.host ?? '', path: request?.path ?? '', code, detail, status: reply.status })
   }
 
   /** A fault of this program: the caller's connection ends, as whether the request ran isn't known. */
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -25,7 +25,6 @@
 
   readonly inFlight = new Gauge({ name: 'radishloft_in_flight_requests', help: 'Requests accepted from callers and not yet ended.', registers: [this.registry] })
   readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
-  readonly listAge = new Gauge({ name: 'radishloft_endpoint_list_age_seconds', help: 'Age of the list of endpoints.', registers: [this.registry] })
 
   /** Counts control traffic. */
   control (direction: 'sent' | 'received', kind: string, bytes: number): void {
--- a/src/gateway/RequestLog.ts
+++ b/src/gateway/RequestLog.ts
@@ -1,4 +1,5 @@
 /** One line for each request, at a bounded rate; lines left out are counted and told with the next one. */
+import type { ErrorCode, Step } from '../common/Errors.js'
 import { TokenBucket } from '../common/limits/TokenBucket.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -32,6 +33,19 @@
   readonly ms: number
 }
 
+/** Why a request was refused at once. */
+export interface RefusedLine {
+  readonly step: Step
+  readonly requestId: string
+  readonly host: string
+  readonly path: string
+  /** Error code of this system. */
+  readonly code: ErrorCode
+  /** The deciding inputs and their age. */
+  readonly detail: string
+  readonly status: number
+}
+
 export class RequestLog {
   readonly #log: Log
   readonly #clock: IClock
@@ -44,13 +58,23 @@
     this.#bucket = new TokenBucket(LINES_PER_SEC, BURST_LINES, clock.nowMs())
   }
 
+  /** A request that attempts were made for. */
   request (line: RequestLine): void {
+    this.#write({ step: 'request', ...line }, 'request')
+  }
+
+  /** A request that was refused before any attempt. */
+  refused (line: RefusedLine): void {
+    this.#write({ ...line }, 'refused')
+  }
+
+  #write (line: Readonly<Record<string, unknown>>, message: string): void {
     if (!this.#bucket.take(1, this.#clock.nowMs())) {
       this.#omitted++
       return
     }
     const omitted = this.#omitted === 0 ? {} : { omittedLines: this.#omitted }
     this.#omitted = 0
-    this.#log.info({ step: 'request', ...line, ...omitted }, 'request')
+    this.#log.info({ ...line, ...omitted }, message)
   }
 }
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -13,7 +13,8 @@
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { HolderTask } from './HolderTask.js'
 import type { AttemptLine, RequestLog } from './RequestLog.js'
-import type { IRequestCodec, RoutedRequest } from './Types.js'
+import type { ExchangeRequest } from './EndpointExchange.js'
+import type { AnswerHead, HeaderList, IRequestCodec, RoutedRequest } from './Types.js'
 
 const CONNECT_TIMEOUT_MS = 150 // far above a round trip between data centres; nothing is lost by trying elsewhere
 const MAX_CONNECT_FAILURES = 4
@@ -131,42 +132,57 @@
   }
 
   async #attempt (choice: Choice): Promise<AttemptResult> {
-    const { clock, codec, metrics } = this.#services
-    const { request, route, account, body, service } = this.#run
+    const { clock } = this.#services
+    const { route } = this.#run
     const state = choice.state as PooledEndpoint
-    const { id, address, port } = state.endpoint
-    this.#tried.add(id)
     const startedAt = clock.nowMs()
-    const headers = codec.encode({
-      request,
-      endpointId: id,
-      account: account?.id,
-      priority: account?.priority ?? route.priority,
-      timeLeftMs: this.#deadlineAt - startedAt,
-      lastEventId: this.#events?.lastId
-    })
-    const framed = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
+    this.#tried.add(state.endpoint.id)
     if (!this.#repeatable) state.agent.dropIdle(PROVEN_MS)
-    const call = { address, port, method: request.method, target: request.target, headers: framed, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
-    const attempt = new Attempt(state.agent, call, this.#reply, {
+    state.inFlight++
+    const attempt = new Attempt(state.agent, this.#callTo(state), this.#reply, {
       streaming: route.streaming,
       events: this.#events,
       silenceMs: this.#silenceMs(),
-      read: (status, list) => codec.answer(request, status, list)
+      read: (status, headers) => this.#readHead(state, status, headers)
     })
     this.#current = attempt
-    state.inFlight++
     const result = await attempt.result
     state.inFlight--
-    const load = attempt.head?.load
-    if (load !== undefined) state.stated(load.running + load.waiting, clock.nowMs())
-    const detail = 'detail' in result ? { detail: result.detail } : {}
-    const ms = Math.round(clock.nowMs() - startedAt)
-    this.#lines.push({ endpoint: id, reason: choice.reason, load: Math.round(choice.load * 10) / 10, result: result.kind, ...detail, ms })
-    metrics.attempts.inc({ service, result: result.kind })
+    this.#noteAttempt(choice, result, clock.nowMs() - startedAt)
     return result
   }
 
+  /** The request as it goes out to an endpoint. */
+  #callTo (state: PooledEndpoint): ExchangeRequest {
+    const { request, route, account, body } = this.#run
+    const { id, address, port } = state.endpoint
+    const headers = this.#services.codec.encode({
+      request,
+      endpointId: id,
+      account: account?.id,
+      priority: account?.priority ?? route.priority,
+      timeLeftMs: this.#deadlineAt - this.#services.clock.nowMs(),
+      lastEventId: this.#events?.lastId
+    })
+    const framed = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
+    return { address, port, method: request.method, target: request.target, headers: framed, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
+  }
+
+  /** Reads an answer's head; the load that it states is as of now, however long the answer takes. */
+  #readHead (state: PooledEndpoint, status: number, headers: HeaderList): AnswerHead {
+    const head = this.#services.codec.answer(this.#run.request, status, headers)
+    if (head.trusted && head.load !== undefined) state.stated(head.load.running + head.load.waiting, this.#services.clock.nowMs())
+    return head
+  }
+
+  #noteAttempt (choice: Choice, result: AttemptResult, ms: number): void {
+    const endpoint = choice.state.endpoint.id
+    const load = Math.round(choice.load * 10) / 10
+    const detail = 'detail' in result ? { detail: result.detail } : {}
+    this.#lines.push({ endpoint, reason: choice.reason, load, result: result.kind, ...detail, ms: Math.round(ms) })
+    this.#services.metrics.attempts.inc({ service: this.#run.service, result: result.kind })
+  }
+
   /** Takes a result in: undefined when the request is answered, an error when it is given up. */
   #judge (choice: Choice, result: AttemptResult): RouteError | undefined | 'again' {
     const state = choice.state as PooledEndpoint
