--- /dev/null
+++ b/src/platform/StoreReaders.test.ts
@@ -0,0 +1,36 @@
+import { pino } from 'pino'
+import { afterEach, describe, expect, it } from 'vitest'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { StoreClient } from './StoreClient.js'
+import { EndpointReader } from './StoreReaders.js'
+
+const DELAY_MS = 120
+
+const store = new PlatformStore()
+afterEach(() => { store.close() })
+
+describe('EndpointReader', () => {
+  it('takes a list to be as old as its question when the answer comes late', async () => {
+    const client = new StoreClient('127.0.0.1', await store.listen(), new GatewayMetrics())
+    store.delayMs = DELAY_MS
+    const ageMs = await new Promise<number>(resolve => {
+      const receiver = {
+        readsConfig: false,
+        configWaitMs: () => 0,
+        listWaitMs: () => 0,
+        offerConfig: () => {},
+        confirmConfig: () => {},
+        offerEndpoints: (_list: unknown, age: number) => {
+          reader.dispose()
+          resolve(age)
+        }
+      }
+      const reader = new EndpointReader(client, new SeededRandom(1), pino({ level: 'silent' }), receiver, 1_000)
+      reader.run().catch(() => {})
+    })
+    client.close()
+    expect(ageMs).toBeGreaterThanOrEqual(DELAY_MS - 5) // timers may fire a little early
+  })
+})
--- a/src/standin/PlatformStore.ts
+++ b/src/standin/PlatformStore.ts
@@ -27,6 +27,8 @@
 
 export class PlatformStore {
   mood: StoreMood = 'serves'
+  /** How long an answer takes beyond its work. */
+  delayMs = 0
   /** Calls by kind. */
   readonly calls = new Map<string, number>()
   readonly #server: Server
@@ -118,8 +120,11 @@
   }
 
   #send (res: ServerResponse, status: number, body: object): void {
-    if (res.writableEnded || res.destroyed) return
-    res.writeHead(status, { 'content-type': 'application/json' })
-    res.end(JSON.stringify(body))
+    const text = JSON.stringify(body)
+    setTimeout(() => {
+      if (res.writableEnded || res.destroyed) return
+      res.writeHead(status, { 'content-type': 'application/json' })
+      res.end(text)
+    }, this.delayMs)
   }
 }
