Take a late list for a late list, not for an outage of the store

The sender was stopping: peers tell a leaving instance nothing, so it read by itself each 1.75 s. One read that failed made the gap longer than 2.5 s, which counted as an outage, and after an outage endpoints that are no longer listed are kept for 2.2 s: 2.7 + 2.2 s is what was seen. Ruled out: a stale list from a peer (taken by start of its read); the balancer; a replay with the log of that instance (list ages 607 ms in the median, 1,515 ms at most, gaps of 1.75 s while it stopped) shows the gap, not the break. Change: an outage is counted from the first read that failed, not from the last list; an instance that stops reads as often as a reader.

--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -1,12 +1,13 @@
 /**
  * The endpoints as last listed. A list that misses an endpoint removes it, but not right after the list was out of
- * reach: entries that lapsed meanwhile are written again by their endpoints a moment later.
+ * reach: entries that lapsed meanwhile are written again by their endpoints a moment later. A list that was merely
+ * read late was not out of reach.
  */
 import { Emitter } from '../Emitter.js'
 import { digestOfSet } from '../Hash.js'
 import { endpointKey, type Endpoint, type EndpointList } from './Types.js'
 
-const OUTAGE_MS = 2_500 // a list not read for this long may have lost entries of live endpoints
+const OUTAGE_MS = 1_500 // reads that failed for this long: entries of live endpoints may have lapsed meanwhile
 const RETURN_GRACE_MS = 2_200 // live endpoints are listed again within 2 s of the list's return
 
 /** A change of what is believed of one endpoint. */
@@ -24,6 +25,7 @@
   #revision = 0
   #digest = 0
   #graceUntil = -Infinity
+  #failingSince: number | undefined
   readonly #changed = new Emitter<EndpointChange>()
 
   /** Fires for each endpoint that joined, left or changed. */
@@ -63,11 +65,18 @@
     this.#listedAt = Math.max(this.#listedAt, listedAt)
   }
 
+  /** A read of the list that began at `at` failed. */
+  readFailed (at: number): void {
+    this.#failingSince ??= at
+  }
+
   /** Takes a complete list in that was read at `listedAt`; one that is older than the last is left out. */
   take (list: EndpointList, listedAt: number, now: number): void {
     if (list.revision < this.#revision) return
     const sinceListMs = listedAt - this.#listedAt
-    if (sinceListMs > OUTAGE_MS && this.#endpoints.size > 0) this.#graceUntil = now + RETURN_GRACE_MS
+    const outageMs = this.#failingSince === undefined ? 0 : listedAt - Math.max(this.#failingSince, this.#listedAt)
+    this.#failingSince = undefined
+    if (outageMs > OUTAGE_MS) this.#graceUntil = now + RETURN_GRACE_MS
     const next = new Map(list.endpoints.map(e => [e.id, e]))
     for (const [id, old] of this.#endpoints) {
       if (next.has(id)) continue
--- a/src/common/routing/Routing.test.ts
+++ b/src/common/routing/Routing.test.ts
@@ -76,6 +76,7 @@
   it('keeps entries that lapsed while the list was out of reach for 2 s after its return, but not leaving ones', () => {
     const table = new EndpointTable()
     table.take({ revision: 1, endpoints: [endpoint('a'), endpoint('b'), endpoint('c', { leaving: true })] }, 0, 0)
+    table.readFailed(1_000)
     table.take(list(2), 6_000, 6_000)
     const atReturn = table.usable('pool').map(e => e.id)
     table.take(list(3, 'a'), 7_000, 7_000)
@@ -84,6 +85,14 @@
     expect([atReturn, soonAfter, table.usable('pool').map(e => e.id), table.get('c')]).toEqual([['a', 'b'], ['a', 'b'], ['a'], undefined])
   })
 
+  it('removes an endpoint at once when the list was read late or one read failed, though it was not out of reach', () => {
+    const late = new EndpointTable()
+    late.take(list(1, 'a', 'b'), 0, 0)
+    late.readFailed(1_750)
+    late.take(list(2, 'a'), 2_700, 2_700)
+    expect(late.usable('pool').map(e => e.id)).toEqual(['a'])
+  })
+
   it('leaves out a list older than the last, gives leaving endpoints no work, tells equal lists by their digest', () => {
     const table = new EndpointTable()
     table.take({ revision: 5, endpoints: [endpoint('a', { leaving: true }), endpoint('b')] }, 0, 0)
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -47,6 +47,11 @@
     this.table.take(list, now - ageMs, now)
   }
 
+  /** A read of the list failed that began `ageMs` ago. */
+  readFailed (ageMs: number): void {
+    this.table.readFailed(this.#clock.nowMs() - ageMs)
+  }
+
   /** True when an endpoint of this hash is listed and not leaving. */
   isUsable (hash: number): boolean {
     for (const state of this.#states.values()) {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -127,6 +127,11 @@
     this.#takeEndpoints(list, ageMs)
   }
 
+  /** The list of endpoints could not be read. @param ageMs time since that read began. */
+  endpointsFailed (ageMs: number): void {
+    this.#pool.readFailed(ageMs)
+  }
+
   /** True when this gateway waits for configurations on behalf of its data centre. */
   get readsConfig (): boolean {
     return this.#peers.reads('config')
@@ -137,9 +142,9 @@
     return readWaitMs(false, this.#config.ageMs, intervalMs, unitOf(this.#settings.id))
   }
 
-  /** Time until this gateway should read the list of endpoints, given what peers told. */
+  /** Time until this gateway should read the list of endpoints, given what peers told; they tell one that leaves nothing. */
   listWaitMs (intervalMs: number): number {
-    return readWaitMs(this.#peers.reads('endpoints'), this.#pool.listAgeMs, intervalMs, unitOf(this.#settings.id))
+    return readWaitMs(this.#stopping || this.#peers.reads('endpoints'), this.#pool.listAgeMs, intervalMs, unitOf(this.#settings.id))
   }
 
   async start (): Promise<void> {
--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -20,6 +20,7 @@
         readsConfig: false,
         configWaitMs: () => 0,
         listWaitMs: () => 0,
+        endpointsFailed: () => {},
         offerConfig: () => {},
         confirmConfig: () => {},
         offerEndpoints: (_list: unknown, age: number) => {
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -26,6 +26,8 @@
   confirmConfig (): void
   /** @param ageMs time since the read began: an answer that came late is as old as its question. */
   offerEndpoints (list: EndpointList, ageMs: number): void
+  /** @param ageMs time since the read began that failed. */
+  endpointsFailed (ageMs: number): void
 }
 
 /** Common part: backs off after failures and logs each loss and return of the store once. */
@@ -126,7 +128,10 @@
     if (waitMs > 0) return Math.min(POLL_MS, waitMs)
     const startedAt = performance.now()
     const read = await this.store.range(ENDPOINT_PREFIX)
-    if (read.isErr()) return this.failed(read.error)
+    if (read.isErr()) {
+      this.#receiver.endpointsFailed(performance.now() - startedAt)
+      return this.failed(read.error)
+    }
     this.succeeded()
     const malformed = read.value.items.filter(item => endpointOf(item) === undefined)
     this.#noteMalformed(malformed)
