Copy prompts between engines; share outcomes between gateways

(2) A failing engine was judged by one instance's view of a few requests, and a stream that may not be repeated and heard nothing was not counted at all. Changes: the sessions of a template have one owner, which names an engine that holds what the chosen one lacks, and the engine copies it from there; a session without a holder goes to its engine by rendezvous unless that one has more to read or to do; outcomes fade and spread with the news; an endpoint whose answer is late counts as failing.

--- a/src/common/routing/CallPlacement.ts
+++ b/src/common/routing/CallPlacement.ts
@@ -16,7 +16,7 @@
   const cost = (c: EndpointState): number => {
     const busy = c.load(now) / Math.max(1, c.endpoint.slots)
     const remote = c.endpoint.dataCentre === dataCentre ? 0 : REMOTE_PENALTY
-    return busy + remote + c.health.failureShare + combine(tie, c.hash) / 2 ** 32 * 0.01
+    return busy + remote + c.health.failureShare(now) + combine(tie, c.hash) / 2 ** 32 * 0.01
   }
   let best = open[0]!
   for (const c of open) {
--- a/src/common/routing/EndpointHealth.ts
+++ b/src/common/routing/EndpointHealth.ts
@@ -1,26 +1,34 @@
 /**
- * Health of one endpoint from the outcomes of its requests. An endpoint that can't be connected to, stays silent or
- * fails far more often than its peers takes no new work for a while, then a trial at a time.
+ * Health of one endpoint from the outcomes of requests, this instance's own and those that peers told of. An endpoint
+ * that can't be connected to, stays silent or fails far more often than its peers takes no new work for a while, then
+ * a trial at a time.
  */
+import { Outcomes, type OutcomeCounts } from './Outcomes.js'
 
 const FIRST_CLOSE_MS = 400
 const MAX_CLOSE_MS = 5_000
-const SAMPLE_DECAY = 0.85 // weight of the past when an outcome comes in; about the last 7 outcomes count
-const MIN_SAMPLES = 3
+const MIN_FAILED = 3 // faded failures below which chance may be the reason
+const DOUBT = 2 // outcomes that count as answered before any is known, so that one failure isn't a share of 1
 const EXCESS_FAILURES = 0.35 // failure share above the other endpoints' mean that closes an endpoint
+const CALM_SHARE = 0.1 // failure share at which an endpoint's earlier closings are forgotten
 
-/** Outcome of one request at an endpoint. */
-export type EndpointOutcome = 'answered' | 'failed' | 'unreachable' | 'silent' | 'broken'
+/** Outcome of one request at an endpoint; `late` is one whose answer hasn't begun when it should have. */
+export type EndpointOutcome = 'answered' | 'failed' | 'unreachable' | 'silent' | 'broken' | 'late'
 
 export class EndpointHealth {
+  readonly #outcomes = new Outcomes()
   #closedUntil = -Infinity
   #closings = 0
-  #failureShare = 0
-  #samples = 0
 
-  /** Decayed part of requests that ended in failure, 0 to 1. */
-  get failureShare (): number {
-    return this.#failureShare
+  /** Part of the recent requests that failed, 0 to 1. */
+  failureShare (now: number): number {
+    const { failed, ended } = this.#outcomes.counts(now)
+    return failed / (ended + DOUBT)
+  }
+
+  /** Recent outcomes, to tell peers. */
+  counts (now: number): OutcomeCounts {
+    return this.#outcomes.counts(now)
   }
 
   get closedUntil (): number {
@@ -33,25 +41,28 @@
   }
 
   /**
-   * Takes an outcome in. @param othersShare mean failure share of the service's other endpoints: failures that all
-   * endpoints show alike come with the requests. Returns true when the endpoint is closed by it.
+   * Takes an outcome of this instance in. @param othersShare mean failure share of the service's other endpoints:
+   * failures that all endpoints show alike come with the requests. Returns true when the endpoint is closed by it.
    */
   note (outcome: EndpointOutcome, othersShare: number, now: number): boolean {
     if (outcome === 'unreachable') return this.#close(now)
-    const failed = outcome === 'answered' ? 0 : 1
-    this.#failureShare = this.#failureShare * SAMPLE_DECAY + failed * (1 - SAMPLE_DECAY)
-    this.#samples++
-    if (failed === 0) {
-      if (this.#failureShare < EXCESS_FAILURES / 2) this.#closings = 0
-      return false
-    }
+    this.#outcomes.note(outcome !== 'answered', now)
     if (outcome === 'silent') return this.#close(now)
-    return this.#samples >= MIN_SAMPLES && this.#failureShare > othersShare + EXCESS_FAILURES && this.#close(now)
+    if (outcome !== 'answered') return this.#judge(othersShare, now)
+    if (this.failureShare(now) < CALM_SHARE) this.#closings = 0
+    return false
+  }
+
+  /** Takes in what a peer told. Returns true when the endpoint is closed by it. */
+  told (counts: OutcomeCounts, othersShare: number, now: number): boolean {
+    const before = this.#outcomes.counts(now).failed
+    this.#outcomes.join(counts, now)
+    return counts.failed > before && this.open(now) && this.#judge(othersShare, now)
   }
 
-  /** Takes new work again: its data centre can be reached. */
-  reopen (): void {
-    this.#closedUntil = -Infinity
+  #judge (othersShare: number, now: number): boolean {
+    const { failed } = this.#outcomes.counts(now)
+    return failed >= MIN_FAILED && this.failureShare(now) > othersShare + EXCESS_FAILURES && this.#close(now)
   }
 
   #close (now: number): boolean {
--- a/src/common/routing/PromptPlacement.ts
+++ b/src/common/routing/PromptPlacement.ts
@@ -22,21 +22,38 @@
   readonly load: number
 }
 
-/** Hash of the prompt's last part that others share: the session or subject that it belongs to. */
-export function sessionHash (prompt: Prompt): number {
+/** What of a prompt other requests share: its session, and the template that sessions share in turn. */
+export interface PromptKey {
+  /** Hash of the last part that others share: the session or subject that the request belongs to. */
+  readonly session: number
+  /** Hash of the first part. */
+  readonly template: number
+  readonly templateTokens: number
+  /** Tokens of the parts between the template and the request's own. */
+  readonly sessionTokens: number
+}
+
+export function promptKey (prompt: Prompt): PromptKey {
   const { parts } = prompt
-  const shared = parts[Math.max(0, parts.length - 2)]
-  return hashString(shared?.id ?? '')
+  const shared = parts.slice(0, Math.max(1, parts.length - 1))
+  const sessionTokens = shared.slice(1).reduce((sum, part) => sum + part.tokens, 0)
+  return {
+    session: hashString(shared[shared.length - 1]?.id ?? ''),
+    template: hashString(shared[0]?.id ?? ''),
+    templateTokens: shared[0]?.tokens ?? 0,
+    sessionTokens
+  }
 }
 
 /**
  * Chooses among `candidates`, none of which the request was sent to before; undefined when there are none.
+ * @param session hash of the session.
  * @param holder hash of the engine that holds the session's prompt, when one is known.
  */
-export function placePrompt (prompt: Prompt, holder: number | undefined, candidates: readonly EndpointState[], now: number): Choice | undefined {
+export function placePrompt (session: number, holder: number | undefined, candidates: readonly EndpointState[], now: number): Choice | undefined {
   const open = candidates.filter(c => c.health.open(now))
   if (open.length === 0) return soonestOpen(candidates, now)
-  const ranked = rankTop(sessionHash(prompt), open, open.length)
+  const ranked = rankTop(session, open, open.length)
   const held = ranked.find(c => c.hash === holder)
   const order = held === undefined ? ranked : [held, ...ranked.filter(c => c !== held)]
   const loads = new Map(open.map(c => [c, c.load(now)]))
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -30,6 +30,10 @@
   readonly events: EventStream | undefined
   /** Silence after which the attempt is given up; Infinity when it can't be repeated. */
   readonly silenceMs: number
+  /** Wait for the answer's head after which the endpoint is doubted; the attempt goes on. */
+  readonly doubtMs: number
+  /** Called once when the endpoint is doubted. */
+  readonly onDoubt: () => void
   /** Reads an answer's head. */
   readonly read: (status: number, headers: HeaderList) => AnswerHead
 }
@@ -43,6 +47,7 @@
   #head: AnswerHead | undefined
   #passing = false
   #silence: NodeJS.Timeout | undefined
+  readonly #doubt: NodeJS.Timeout
   #resolve!: (result: AttemptResult) => void
   readonly result: Promise<AttemptResult>
 
@@ -51,6 +56,7 @@
     this.#options = options
     this.result = new Promise(resolve => { this.#resolve = resolve })
     this.#exchange = new EndpointExchange(agent, call, this)
+    this.#doubt = setTimeout(() => options.onDoubt(), options.doubtMs)
     this.#heard()
   }
 
@@ -60,6 +66,7 @@
   }
 
   onHead (status: number, headers: HeaderList): void {
+    clearTimeout(this.#doubt)
     this.#heard()
     const head = this.#options.read(status, headers)
     this.#head = head
@@ -133,6 +140,7 @@
   /** The first result counts; the exchange is over with it. */
   #settle (result: AttemptResult): void {
     clearTimeout(this.#silence)
+    clearTimeout(this.#doubt)
     this.#resolve(result)
     this.#exchange.abort()
   }
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,5 +1,6 @@
 /** Owns what this instance knows of each endpoint and its connections; follows the list of endpoints. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
+import { Emitter } from '../common/Emitter.js'
 import type { ToldLoad } from '../common/generated/PeerDatagram.js'
 import { DataCentreReach } from '../common/routing/DataCentreReach.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
@@ -11,7 +12,10 @@
 import { EndpointAgent } from './EndpointAgent.js'
 
 const TOLD_FRESH_MS = 1_500
+const TOLD_FAILED = 0.2 // faded failures that are worth telling
 const MAX_TOLD = 48 // keeps a datagram under 1,200 bytes
+const MAX_AGE_MS = 3_600_000
+const NONE_TRIED: ReadonlySet<string> = new Set()
 
 /** An endpoint that can be sent to. */
 export class PooledEndpoint extends EndpointState {
@@ -23,7 +27,12 @@
   readonly #clock: IClock
   readonly #log: Log
   readonly #states = new Map<string, PooledEndpoint>()
+  readonly #byHash = new Map<number, PooledEndpoint>()
   readonly #reach = new DataCentreReach()
+  readonly #failed = this.own(new Emitter<void>())
+
+  /** Fires when a request failed at an endpoint. */
+  readonly onFailure = this.#failed.event
 
   constructor (clock: IClock, log: Log) {
     super()
@@ -32,6 +41,7 @@
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#forget(endpoint)
+      else this.#state(endpoint)
       this.#log.info({ step: 'endpoints', endpoint: endpoint.id, service: endpoint.service, dataCentre: endpoint.dataCentre, kind, sinceListMs: Math.round(sinceListMs) }, 'endpoint')
     }))
   }
@@ -54,28 +64,51 @@
 
   /** True when an endpoint of this hash is listed and not leaving. */
   isUsable (hash: number): boolean {
-    for (const state of this.#states.values()) {
-      if (state.hash === hash) return this.table.get(state.endpoint.id)?.leaving === false
-    }
-    return false
+    const state = this.#byHash.get(hash)
+    return state !== undefined && this.table.get(state.endpoint.id)?.leaving === false
+  }
+
+  /** True when an endpoint of this hash is listed, leaving or not. */
+  isListed (hash: number): boolean {
+    return this.#byHash.has(hash)
+  }
+
+  /** The endpoint of this hash, if it is listed and its data centre can be reached. */
+  byHash (hash: number): PooledEndpoint | undefined {
+    const state = this.#byHash.get(hash)
+    const reachable = state !== undefined && !this.#reach.closed(state.endpoint.dataCentre, this.#clock.nowMs())
+    return reachable ? state : undefined
   }
 
-  /** Loads that endpoints stated a short while ago, the newest first. */
+  /** What is new of endpoints, to tell peers: first those that fail, then those that stated their load last. */
   freshLoads (): ToldLoad[] {
     const now = this.#clock.nowMs()
-    const fresh = [...this.#states.values()].filter(s => now - s.statedAt < TOLD_FRESH_MS).sort((a, b) => b.statedAt - a.statedAt)
-    return fresh.slice(0, MAX_TOLD).map(s => ({ endpoint: s.hash, requests: s.statedRequests, ageMs: Math.round(now - s.statedAt) }))
+    const told = [...this.#states.values()]
+      .map(s => ({ endpoint: s.hash, requests: s.statedRequests, ageMs: Math.round(Math.min(MAX_AGE_MS, now - s.statedAt)), ...s.health.counts(now) }))
+      .filter(t => t.ageMs < TOLD_FRESH_MS || t.failed >= TOLD_FAILED)
+    return told.sort((a, b) => b.failed - a.failed || a.ageMs - b.ageMs).slice(0, MAX_TOLD)
   }
 
-  /** Takes in loads that endpoints stated to other instances. */
+  /** Takes in what endpoints stated to other instances, and how requests of those ended. */
   told (loads: readonly ToldLoad[]): void {
     const now = this.#clock.nowMs()
-    const byHash = new Map([...this.#states.values()].map(s => [s.hash, s]))
-    for (const load of loads) byHash.get(load.endpoint)?.stated(load.requests, now - load.ageMs)
+    for (const load of loads) {
+      const state = this.#byHash.get(load.endpoint)
+      if (state === undefined) continue
+      if (load.ageMs < TOLD_FRESH_MS) state.stated(load.requests, now - load.ageMs)
+      if (load.failed >= TOLD_FAILED && state.health.told(load, this.othersFailureShare(state), now)) this.#logClosed(state, 'told', '')
+    }
+  }
+
+  /** Mean failure share of the other endpoints of its service. */
+  othersFailureShare (state: PooledEndpoint): number {
+    const now = this.#clock.nowMs()
+    const others = this.table.usable(state.endpoint.service).filter(e => e.id !== state.endpoint.id)
+    return others.reduce((sum, e) => sum + this.#state(e).health.failureShare(now), 0) / Math.max(1, others.length)
   }
 
   /** Endpoints of a service that may take new work, but those in `tried`; those out of reach only when there is no other. */
-  candidates (service: string, tried: ReadonlySet<string>): PooledEndpoint[] {
+  candidates (service: string, tried: ReadonlySet<string> = NONE_TRIED): PooledEndpoint[] {
     const now = this.#clock.nowMs()
     const all = this.table.usable(service).filter(e => !tried.has(e.id)).map(e => this.#state(e))
     const reachable = all.filter(s => !this.#reach.closed(s.endpoint.dataCentre, now))
@@ -85,19 +118,25 @@
   /** Takes the outcome of a request at an endpoint in. */
   note (state: PooledEndpoint, outcome: EndpointOutcome, requestId: string): void {
     const now = this.#clock.nowMs()
-    const others = this.table.usable(state.endpoint.service).filter(e => e.id !== state.endpoint.id).map(e => this.#state(e).health.failureShare)
-    const othersShare = others.length === 0 ? 0 : others.reduce((a, b) => a + b, 0) / others.length
     this.#noteReach(state.endpoint, outcome, requestId, now)
     if (outcome === 'unreachable' || outcome === 'silent') state.agent.dropIdle()
-    if (!state.health.note(outcome, othersShare, now)) return
-    const { failureShare, closedUntil } = state.health
-    this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, outcome, failureShare, othersShare, closedMs: Math.round(closedUntil - now) }, 'endpoint closed to new work')
+    const closed = state.health.note(outcome, this.othersFailureShare(state), now)
+    if (closed) this.#logClosed(state, outcome, requestId)
+    if (outcome !== 'answered' && outcome !== 'unreachable') this.#failed.fire()
+  }
+
+  #logClosed (state: PooledEndpoint, outcome: EndpointOutcome | 'told', requestId: string): void {
+    const now = this.#clock.nowMs()
+    const { failed, ended } = state.health.counts(now)
+    const othersShare = this.othersFailureShare(state)
+    const closedMs = Math.round(state.health.closedUntil - now)
+    this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, outcome, failed, ended, othersShare, closedMs }, 'endpoint closed to new work')
   }
 
   /** What fails alike at several endpoints of a data centre is the way there. */
   #noteReach (e: Endpoint, outcome: EndpointOutcome, requestId: string, now: number): void {
     if (outcome !== 'unreachable') {
-      if (outcome !== 'silent') this.#reach.reached(e.dataCentre)
+      if (outcome !== 'silent' && outcome !== 'late') this.#reach.reached(e.dataCentre)
       return
     }
     if (!this.#reach.failed(e.dataCentre, e.id, now)) return
@@ -113,13 +152,17 @@
     if (state === undefined) {
       state = new PooledEndpoint(e)
       this.#states.set(key, state)
+      this.#byHash.set(state.hash, state)
     }
     return state
   }
 
   /** Requests in flight keep their connection; idle ones go. */
   #forget (e: Endpoint): void {
-    this.#states.get(endpointKey(e))?.agent.dropIdle()
+    const state = this.#states.get(endpointKey(e))
+    if (state === undefined) return
+    state.agent.dropIdle()
     this.#states.delete(endpointKey(e))
+    if (this.#byHash.get(state.hash) === state) this.#byHash.delete(state.hash)
   }
 }
--- a/src/gateway/FrontServer.ts
+++ b/src/gateway/FrontServer.ts
@@ -5,7 +5,7 @@
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError, type RouteError } from '../common/Errors.js'
 import type { RouteTable } from '../common/routing/RouteTable.js'
-import { sessionHash } from '../common/routing/PromptPlacement.js'
+import { promptKey } from '../common/routing/PromptPlacement.js'
 import { takesWhileStopping, type StopWindow } from '../common/routing/StopWindow.js'
 import type { Account, CallerLimits, Route } from '../common/routing/Types.js'
 import { hashString } from '../common/Hash.js'
@@ -92,7 +92,7 @@
       this.#refuse(reply, request, body.error)
       return
     }
-    const service = table.serviceFor(route, request.prompt === undefined ? hashString(request.id) : sessionHash(request.prompt))
+    const service = table.serviceFor(route, request.prompt === undefined ? hashString(request.id) : promptKey(request.prompt).session)
     await new RequestRun(this.#services, { request, route, service, account, configRevision: table.config.revision, body: body.value, startedAt }, reply).run()
   }
 
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -83,7 +83,7 @@
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
     this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, this.#peerHost()))
     this.#parts = this.own(new PeerParts(this.#partSource(), log))
-    const holders = this.own(new HolderTask(this.#peers, clock, hash => this.#pool.isUsable(hash)))
+    const holders = this.own(new HolderTask(this.#peers, clock, this.#pool))
     const services = {
       clock,
       codec,
@@ -99,6 +99,7 @@
     this.#front = this.own(new FrontServer(services))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#peers.announce()))
+    this.own(this.#pool.onFailure(() => this.#peers.tellFailure()))
     this.#status = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
 
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -18,6 +18,7 @@
 const TICK_MS = 100
 const NEWS_INTERVAL_MS = 250
 const NEWS_FANOUT = 3
+const FAILURE_NEWS_INTERVAL_MS = 100
 const URGENT_FANOUT = 6 // a change is pushed on by each that learns of it
 const UNKNOWN_AGE_MS = 3_600_000 // an age that can be sent where there is none
 
@@ -41,6 +42,7 @@
   readonly #socket: PeerSocket
   readonly #membership: Membership
   #nextNewsAt = 0
+  #nextFailureNewsAt = 0
 
   constructor (self: InstanceAddress, clock: IClock, random: IRandom, counter: IControlCounter, log: Log, host: IPeerHost) {
     super()
@@ -90,6 +92,14 @@
     this.#sendNews(URGENT_FANOUT)
   }
 
+  /** Pushes that a request failed at an endpoint, unless that was just done: what is told fades in seconds. */
+  tellFailure (): void {
+    const now = this.#clock.nowMs()
+    if (now < this.#nextFailureNewsAt) return
+    this.#nextFailureNewsAt = now + FAILURE_NEWS_INTERVAL_MS
+    this.#sendNews(NEWS_FANOUT)
+  }
+
   /** Tells peers that this instance leaves. */
   leave (): void {
     this.#send(this.#membership.leave())
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -2,8 +2,8 @@
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
-import { placePrompt, sessionHash, type Choice } from '../common/routing/PromptPlacement.js'
-import type { Account, Prompt, Route } from '../common/routing/Types.js'
+import { placePrompt, promptKey, type Choice } from '../common/routing/PromptPlacement.js'
+import type { Account, Endpoint, Prompt, Route } from '../common/routing/Types.js'
 import type { RetryBudget } from '../common/limits/RetryBudget.js'
 import type { IClock } from '../common/Services.js'
 import { Attempt, type AttemptResult } from './Attempt.js'
@@ -11,7 +11,7 @@
 import type { EndpointPool, PooledEndpoint } from './EndpointPool.js'
 import { EventStream } from './EventStream.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
-import type { HolderTask } from './HolderTask.js'
+import type { Holder, HolderTask } from './HolderTask.js'
 import type { AttemptLine, RequestLog } from './RequestLog.js'
 import type { ExchangeRequest } from './EndpointExchange.js'
 import type { AnswerHead, HeaderList, IRequestCodec, RoutedRequest } from './Types.js'
@@ -20,6 +20,8 @@
 const MAX_CONNECT_FAILURES = 4
 const PROVEN_MS = 500 // a connection idle for longer may lead nowhere; work that runs once isn't risked on it
 const ANSWER_SILENCE_GOALS = 3 // multiples of the latency goal after which a repeatable call is tried elsewhere
+const DOUBT_GOALS = 1.25 // multiples of the latency goal
+const MIN_DOUBT_MS = 400 // a call in a short queue isn't silent
 const STREAM_SILENCE_MS = 900 // a resumable stream goes on elsewhere before its caller loses patience
 const DISTRUST_MS = 5_000 // an endpoint that answered out of turn gets a connection for each request this long
 const DEADLINE_MARGIN_MS = 60 // the endpoint's own word on the deadline goes before this instance's
@@ -60,7 +62,7 @@
   readonly #tried = new Set<string>()
   readonly #lines: AttemptLine[] = []
   readonly #repeatable: boolean
-  #holder: number | undefined
+  #holder: Holder | undefined
   #current: Attempt | undefined
   #stopped: 'caller-gone' | 'deadline' | undefined
   #mayHaveRun = false
@@ -118,13 +120,9 @@
   /** Asks for the session's holder once; later attempts go on from it. */
   async #choosePrompt (prompt: Prompt): Promise<Choice | undefined> {
     const { clock, holders } = this.#services
-    const session = sessionHash(prompt)
-    if (this.#holder === undefined) {
-      const proposed = placePrompt(prompt, holders.remembered(session), this.#candidates(), clock.nowMs())
-      if (proposed === undefined) return undefined
-      this.#holder = await holders.holder(session, proposed.state.hash)
-    }
-    return placePrompt(prompt, this.#holder, this.#candidates(), clock.nowMs())
+    const key = promptKey(prompt)
+    this.#holder ??= await holders.holder(this.#run.service, key)
+    return placePrompt(key.session, this.#holder?.endpoint, this.#candidates(), clock.nowMs())
   }
 
   #candidates (): PooledEndpoint[] {
@@ -143,6 +141,8 @@
       streaming: route.streaming,
       events: this.#events,
       silenceMs: this.#silenceMs(),
+      doubtMs: this.#doubtMs(),
+      onDoubt: () => this.#services.pool.note(state, 'late', this.#run.request.id),
       read: (status, headers) => this.#readHead(state, status, headers)
     })
     this.#current = attempt
@@ -162,12 +162,21 @@
       account: account?.id,
       priority: account?.priority ?? route.priority,
       timeLeftMs: this.#deadlineAt - this.#services.clock.nowMs(),
-      lastEventId: this.#events?.lastId
+      lastEventId: this.#events?.lastId,
+      promptSource: this.#promptSource(state)
     })
     const framed = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
     return { address, port, method: request.method, target: request.target, headers: framed, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
   }
 
+  /** An engine that is well and holds some of the prompt which `state` hasn't read. */
+  #promptSource (state: PooledEndpoint): Endpoint | undefined {
+    if (this.#holder === undefined) return undefined
+    const { endpoint, source } = this.#holder
+    const held = this.#services.pool.byHash(state.hash === endpoint ? source : endpoint)
+    return held?.health.open(this.#services.clock.nowMs()) === true ? held.endpoint : undefined
+  }
+
   /** Reads an answer's head; the load that it states is as of now, however long the answer takes. */
   #readHead (state: PooledEndpoint, status: number, headers: HeaderList): AnswerHead {
     const head = this.#services.codec.answer(this.#run.request, status, headers)
@@ -218,7 +227,7 @@
 
   /** Passes an answer on, or tries elsewhere when the endpoint fails more requests than the others do. */
   #answered (state: PooledEndpoint, result: Extract<AttemptResult, { kind: 'answered' }>): undefined | 'again' {
-    const failsMore = result.head.status >= FAILURE_FROM && state.health.failureShare > this.#othersShare(state) + EXCESS_FAILURES
+    const failsMore = result.head.status >= FAILURE_FROM && state.health.failureShare(this.#services.clock.nowMs()) > this.#othersShare(state) + EXCESS_FAILURES
     if (failsMore && this.#repeatable && this.#heldAnswer === undefined && this.#mayRepeat()) {
       this.#heldAnswer = result
       return 'again'
@@ -233,8 +242,7 @@
   }
 
   #othersShare (state: PooledEndpoint): number {
-    const others = this.#services.pool.candidates(this.#run.service, new Set([state.endpoint.id]))
-    return others.reduce((sum, o) => sum + o.health.failureShare, 0) / Math.max(1, others.length)
+    return this.#services.pool.othersFailureShare(state)
   }
 
   /** True when another endpoint may be asked, within the route's attempts and the shared budget. */
@@ -248,6 +256,11 @@
     return this.#run.route.streaming ? STREAM_SILENCE_MS : this.#run.route.latencyGoalMs * ANSWER_SILENCE_GOALS
   }
 
+  /** Longest wait for the head of an answer from an endpoint that is well. */
+  #doubtMs (): number {
+    return Math.max(MIN_DOUBT_MS, this.#run.route.latencyGoalMs * DOUBT_GOALS)
+  }
+
   #stop (why: 'caller-gone' | 'deadline'): void {
     this.#stopped ??= why
     this.#current?.stop()
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -1,7 +1,7 @@
 /** Ports of the gateway: what an adapter to a platform implements, and the messages that pass through them. */
 import type { Result } from 'neverthrow'
 import type { RouteError } from '../common/Errors.js'
-import type { Prompt, StatedLoad } from '../common/routing/Types.js'
+import type { Endpoint, Prompt, StatedLoad } from '../common/routing/Types.js'
 
 /** Headers as a flat list of names and values in the order they came. */
 export type HeaderList = readonly string[]
@@ -41,6 +41,8 @@
   readonly timeLeftMs: number | undefined
   /** Last event that the caller has, when a stream goes on at another endpoint. */
   readonly lastEventId: string | undefined
+  /** Engine from which the endpoint may copy what it hasn't read of the prompt, as that is faster than reading it. */
+  readonly promptSource: Endpoint | undefined
 }
 
 /** What an endpoint's answer says of itself. */
--- a/src/platform/RequestCodec.ts
+++ b/src/platform/RequestCodec.ts
@@ -82,6 +82,7 @@
     if (call.timeLeftMs !== undefined) headers.push(WIRE.patience, String(Math.max(1, Math.floor(call.timeLeftMs))))
     if (call.priority !== undefined) headers.push(WIRE.priority, String(Math.min(LOWEST_PRIORITY, Math.max(HIGHEST_PRIORITY, call.priority))))
     if (call.lastEventId !== undefined) headers.push(WIRE.lastEventId, call.lastEventId)
+    if (call.promptSource !== undefined) headers.push(WIRE.promptSource, `${call.promptSource.address}:${call.promptSource.port}`)
     return headers
   }
 
--- a/src/platform/WireNames.ts
+++ b/src/platform/WireNames.ts
@@ -12,6 +12,7 @@
   notRun: 'Not-Executed',
   load: 'Server-Load',
   lastEventId: 'Last-Event-Id',
+  promptSource: 'Kv-Fetch', // address of the engine to copy cached prompt parts from
   retryAfter: 'Retry-After',
   authorization: 'Authorization'
 } as const
@@ -19,7 +20,7 @@
 /** Headers that only this system may set; a caller's own are dropped. */
 export const OWN_HEADERS: ReadonlySet<string> = new Set([
   WIRE.authorization, WIRE.account, WIRE.endpointId, WIRE.priority, WIRE.patience,
-  'Expect-Version', 'Kv-From', 'Kv-Fetch', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load'
+  'Expect-Version', WIRE.promptSource, 'Kv-From', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load'
 ].map(name => name.toLowerCase()))
 
 /** Headers that concern one connection only. */
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -9,6 +9,7 @@
 const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news', 'askHolder', 'tellHolder'] as const
 const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
 const MAC_BYTES = 12
+const COUNT_STEPS = 10 // faded counts travel as whole tenths
 
 type Row = readonly unknown[]
 
@@ -37,12 +38,21 @@
       return newsRow(kind, datagram)
     case 'askHolder':
     case 'tellHolder':
-      return [kind, datagram.seq, datagram.id, datagram.session, datagram.endpoint]
+      return holderRow(kind, datagram)
   }
 }
 
+function holderRow (kind: number, d: HolderDatagram): Row {
+  return [kind, d.seq, d.id, d.service, d.session, d.template, d.sessionTokens, d.templateTokens, d.endpoint, d.source]
+}
+
+function holderOf (row: Row): HolderDatagram {
+  const [kind, seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source] = row
+  return { kind: KINDS[kind as number], seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source } as HolderDatagram
+}
+
 function newsRow (kind: number, d: NewsDatagram): Row {
-  const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs])
+  const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_STEPS), Math.round(l.ended * COUNT_STEPS)])
   return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads]
 }
 
@@ -50,7 +60,10 @@
   const [, id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, flat] = row
   const numbers = flat as readonly number[]
   const loads = []
-  for (let i = 0; i + 2 < numbers.length; i += 3) loads.push({ endpoint: numbers[i]!, requests: numbers[i + 1]!, ageMs: numbers[i + 2]! })
+  for (let i = 0; i + 4 < numbers.length; i += 5) {
+    const [endpoint, requests, ageMs, failed, ended] = numbers.slice(i, i + 5)
+    loads.push({ endpoint: endpoint!, requests: requests!, ageMs: ageMs!, failed: failed! / COUNT_STEPS, ended: ended! / COUNT_STEPS })
+  }
   return { kind: 'news', id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, loads } as NewsDatagram
 }
 
@@ -68,7 +81,7 @@
 function fromRow (row: Row): PeerDatagram {
   const kind = KINDS[row[0] as number]
   if (kind === 'news') return newsOf(row)
-  if (kind === 'askHolder' || kind === 'tellHolder') return { kind, seq: row[1], id: row[2], session: row[3], endpoint: row[4] } as HolderDatagram
+  if (kind === 'askHolder' || kind === 'tellHolder') return holderOf(row)
   if (kind === 'ownPing' || kind === 'ownAck') return { kind, seq: row[1], id: row[2], listDigest: row[3] } as OwnershipDatagram
   if (kind === 'take' || kind === 'grant') return { kind, seq: row[1], id: row[2], account: row[3], count: row[4] } as AllowanceDatagram
   return { kind, seq: row[1], target: row[2], from: digestOf(row[3] as Row), rumours: (row[4] as readonly Row[]).map(rumourOf) } as ProbeDatagram
