Add a randomized soak of real gateways

Thirteen promises are checked on what callers and workers saw; a break prints its trace and keeps the logs. Starting processes is shared with the demo's site.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 /** Layers: common imports nothing outward; a target folder imports common and its own files. */
-const outward = ['enginemodel', 'router', 'gateway', 'platform', 'ctl', 'load', 'standin', 'tools', 'experiment', 'bench', 'model', 'scenarios']
+const outward = ['enginemodel', 'router', 'gateway', 'platform', 'ctl', 'load', 'standin', 'tools', 'experiment', 'bench', 'model', 'scenarios', 'soak']
 const allowed = {
   common: [],
   enginemodel: [],
@@ -15,6 +15,7 @@
   scenarios: ['enginemodel', 'load', 'tools', 'standin', 'router'],
   tools: ['enginemodel', 'load', 'standin', 'router'],
   experiment: ['enginemodel', 'tools', 'load', 'router'],
+  soak: ['standin', 'tools'],
   bench: ['enginemodel', 'tools', 'load', 'router']
 }
 
--- /dev/null
+++ b/src/soak/Checks.test.ts
@@ -0,0 +1,85 @@
+import { describe, expect, it } from 'vitest'
+import { EVENTS } from '../standin/PlatformWorker.js'
+import { CHECKS, findBreaks, type Seen } from './Checks.js'
+import { Timeline } from './Timeline.js'
+import type { CallRecord, ExtraRoute, ProbeRecord, RunRecord } from './Types.js'
+
+const AT = 20_000
+const EVENT_TEXT = Array.from({ length: EVENTS }, (_, i) => `id: ${i + 1}\ndata: token${i + 1}\n\n`)
+
+function call (more: Partial<CallRecord> = {}): CallRecord {
+  return {
+    id: 'q1', kind: 'write', gateway: 'g0', account: 'looms', startedAt: AT, endedAt: AT + 100, end: 'whole', status: 200, body: 'answer to q1: q1', signature: 'w0.q1', answerId: 'q1', reused: true, ...more
+  }
+}
+
+function run (more: Partial<RunRecord> = {}): RunRecord {
+  return { id: 'q1', worker: 'w0', at: AT + 10, account: 'looms', overAt: AT + 90, ...more }
+}
+
+const probe = (more: Partial<ProbeRecord> = {}): ProbeRecord => ({ route: 'extra0', gateway: 'g0', life: 0, at: AT, status: 200, ...more })
+const route = (more: Partial<ExtraRoute> = {}): ExtraRoute => ({ name: 'extra0', addedAt: 10_000, removedAt: Infinity, ...more })
+
+function rulesBroken (more: Partial<Seen>): string[] {
+  const seen: Seen = {
+    calls: [],
+    runs: [],
+    probes: [],
+    routes: [],
+    leavingAt: new Map(),
+    timeline: new Timeline(),
+    drainMs: 2_000,
+    applyMs: 2_000,
+    retryRatio: 0.2,
+    retryBurst: 2,
+    ...more
+  }
+  return [...new Set(findBreaks(seen).map(b => b.rule))]
+}
+
+/** For each promise, what is seen when it is broken. */
+const BROKEN: Readonly<Record<string, () => Partial<Seen>>> = {
+  'own whole answer': () => ({ calls: [call({ answerId: 'q2', signature: 'w0.q2' })], runs: [run()] }),
+  'at most once': () => ({ calls: [call()], runs: [run(), run({ worker: 'w1' })] }),
+  'not run': () => ({ calls: [call({ status: 503, signature: '', body: '' })], runs: [run()] }),
+  order: () => ({ calls: [call({ kind: 'stream', end: 'cut', body: EVENT_TEXT[0]! + EVENT_TEXT[2]! })] }),
+  account: () => ({ calls: [call()], runs: [run({ account: 'beads' })] }),
+  drain: () => ({ calls: [call()], runs: [run()], leavingAt: new Map([['w0', AT - 2_100]]) }),
+  lost: () => ({ calls: [call({ end: 'cut', status: 0 })], runs: [run()] }),
+  cancel: () => ({ calls: [call({ end: 'left', status: 0 })], runs: [run({ overAt: AT + 700 })] }),
+  denied: () => ({ calls: [call({ status: 404, signature: '', body: '' })] }),
+  'in force': () => ({ probes: [probe({ status: 404 })], routes: [route()] }),
+  'never back': () => ({ probes: [probe(), probe({ at: AT + 1, status: 404 }), probe({ at: AT + 2 })], routes: [route({ removedAt: AT })] }),
+  budget: () => ({ calls: [call({ kind: 'read' })], runs: [run(), run({ worker: 'w1' }), run({ worker: 'w2' }), run({ worker: 'w3' })] }),
+  recovery: () => {
+    const timeline = new Timeline()
+    const herd = timeline.begin('herd', 'g0')
+    herd.to = herd.from
+    return { timeline, calls: [call({ startedAt: herd.to + 12_100, status: 502, signature: '' })] }
+  }
+}
+
+describe('the soak\'s checks', () => {
+  it('find each promise broken by what breaks it', () => {
+    for (const [rule, seen] of Object.entries(BROKEN)) expect([rule, rulesBroken(seen())]).toEqual([rule, [rule]])
+    expect(Object.keys(BROKEN).sort()).toEqual(Object.keys(CHECKS).sort())
+  })
+
+  it('find nothing where all is well', () => {
+    const stream = { id: 'q2', answerId: 'q2', kind: 'stream', signature: 'w0.q2', body: EVENT_TEXT.join('') } as const
+    expect(rulesBroken({ calls: [call(), call(stream)], runs: [run(), run({ id: 'q2' })], probes: [probe()], routes: [route()] })).toEqual([])
+  })
+
+  it('do not hold a gateway to times while it is disturbed', () => {
+    const timeline = new Timeline()
+    timeline.begin('pause', 'g0').from = AT - 1_000
+    const disturbed = [BROKEN.drain!(), BROKEN.lost!(), BROKEN.cancel!(), BROKEN['in force']!()]
+    expect(disturbed.flatMap(seen => rulesBroken({ ...seen, timeline }))).toEqual([])
+  })
+
+  it('hold it to whole answers while it stops', () => {
+    const timeline = new Timeline()
+    timeline.begin('stop', 'g0').from = AT - 1_000
+    expect(rulesBroken({ ...BROKEN.lost!(), timeline })).toEqual(['lost'])
+  })
+})
--- /dev/null
+++ b/src/soak/FaultProxy.test.ts
@@ -0,0 +1,67 @@
+import { createServer, type AddressInfo, connect, type Server } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { FaultProxy, type ProxyMood } from './FaultProxy.js'
+
+const WAIT_MS = 60
+
+let echo: Server
+let proxy: FaultProxy
+let port: number
+
+beforeEach(async () => {
+  echo = createServer(socket => {
+    socket.on('error', () => {})
+    socket.pipe(socket)
+  })
+  await new Promise<void>(resolve => echo.listen(0, '127.0.0.1', resolve))
+  proxy = new FaultProxy(() => (echo.address() as AddressInfo).port)
+  port = await proxy.listen()
+})
+
+afterEach(() => {
+  proxy.dispose()
+  echo.close()
+})
+
+/** What comes back for a word: itself, nothing, or a reset. */
+async function say (word: string): Promise<string> {
+  return await new Promise(resolve => {
+    const socket = connect({ port, host: '127.0.0.1' })
+    const timer = setTimeout(() => {
+      socket.destroy()
+      resolve('silence')
+    }, WAIT_MS)
+    const settle = (answer: string): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(answer)
+    }
+    socket.on('data', data => settle(String(data)))
+    socket.on('error', () => settle('reset'))
+    socket.write(word)
+  })
+}
+
+describe('FaultProxy', () => {
+  it('passes, resets or swallows what goes through it, and passes again after that', async () => {
+    const heard: string[] = []
+    for (const mood of ['passes', 'resets', 'deaf', 'mute', 'silent', 'passes'] as ProxyMood[]) {
+      proxy.mood = mood
+      heard.push(await say('hello'))
+    }
+    expect(heard).toEqual(['hello', 'reset', 'silence', 'silence', 'silence', 'hello'])
+  })
+
+  it('resets open connections', async () => {
+    const socket = connect({ port, host: '127.0.0.1' })
+    const closed = new Promise<string>(resolve => {
+      socket.on('error', (e: NodeJS.ErrnoException) => resolve(e.code ?? ''))
+    })
+    await new Promise<void>(resolve => {
+      socket.once('data', () => resolve())
+      socket.write('x')
+    })
+    proxy.reset()
+    expect(await closed).toBe('ECONNRESET')
+  })
+})
--- /dev/null
+++ b/src/soak/FaultProxy.ts
@@ -0,0 +1,67 @@
+/** A proxy on loopback in front of one address that delays, resets or silences the connections through it. */
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { Disposable, toDisposable } from '../common/Disposable.js'
+
+/** What the proxy does to its connections; `deaf` passes nothing on towards the target, `mute` nothing back. */
+export type ProxyMood = 'passes' | 'resets' | 'deaf' | 'mute' | 'silent'
+
+export class FaultProxy extends Disposable {
+  mood: ProxyMood = 'passes'
+  /** Added to each chunk, in each direction. */
+  delayMs = 0
+  readonly #target: () => number
+  readonly #server: Server
+  readonly #sockets = new Set<Socket>()
+
+  /** @param target port on loopback that connections go to. */
+  constructor (target: () => number) {
+    super()
+    this.#target = target
+    this.#server = createServer(socket => this.#accept(socket))
+    this.own(toDisposable(() => {
+      this.#server.close()
+      this.reset()
+    }))
+  }
+
+  async listen (): Promise<number> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** Resets all open connections. */
+  reset (): void {
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+  }
+
+  #accept (near: Socket): void {
+    if (this.mood === 'resets') {
+      near.resetAndDestroy()
+      return
+    }
+    const far = connect({ port: this.#target(), host: '127.0.0.1' })
+    this.#join(near, far, () => this.mood === 'deaf' || this.mood === 'silent')
+    this.#join(far, near, () => this.mood === 'mute' || this.mood === 'silent')
+  }
+
+  /** Passes bytes, the end and a reset of `from` on to `to`; what is swallowed is lost for good. */
+  #join (from: Socket, to: Socket, swallows: () => boolean): void {
+    this.#sockets.add(from)
+    let swallowed = false
+    from.on('data', chunk => {
+      swallowed ||= swallows()
+      if (!swallowed) this.#later(() => { if (!to.destroyed) to.write(chunk) })
+    })
+    from.on('end', () => { if (!swallowed) this.#later(() => to.end()) })
+    from.on('error', () => { if (!swallows()) this.#later(() => to.resetAndDestroy()) })
+    from.on('close', () => {
+      this.#sockets.delete(from)
+      if (!swallows()) this.#later(() => to.destroy())
+    })
+  }
+
+  #later (act: () => void): void {
+    if (this.delayMs === 0) act()
+    else setTimeout(act, this.delayMs)
+  }
+}
--- /dev/null
+++ b/src/soak/SoakCallers.ts
@@ -0,0 +1,77 @@
+/** Callers of the soak: each keeps one connection to a gateway as long as it lasts, and asks one thing after the other. */
+import { Agent } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Disposable } from '../common/Disposable.js'
+import type { SeededRandom } from '../common/SeededRandom.js'
+import { askPlatform } from '../standin/PlatformCaller.js'
+import type { SoakGateway, SoakSite } from './SoakSite.js'
+import { KINDS, type CallRecord, type Kind } from './Types.js'
+
+const DEADLINE_MS = 2_500
+const PAUSE_MS = 30 // mean time between a caller's requests
+const RETRY_PAUSE_MS = 100 // after a connection that didn't come about
+const LEAVE_SHARE = 0.04 // of the requests, whose caller leaves early
+const LEAVE_AFTER_MS = 60
+const MOVE_SHARE = 0.02 // of the requests, after which a caller takes another gateway
+const SESSIONS = 24
+const TEMPLATES = 3
+
+export class SoakCallers extends Disposable {
+  readonly calls: CallRecord[] = []
+  readonly #site: SoakSite
+  readonly #random: SeededRandom
+  readonly #agents: Agent[] = []
+  #seq = 0
+
+  constructor (site: SoakSite, random: SeededRandom) {
+    super()
+    this.#site = site
+    this.#random = random
+  }
+
+  /** Runs `count` callers until disposed; each ends what it asked last. */
+  async run (count: number): Promise<void> {
+    await Promise.all(Array.from({ length: count }, async (_, i) => { await this.#caller(i) }))
+    for (const agent of this.#agents) agent.destroy()
+  }
+
+  async #caller (index: number): Promise<void> {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    this.#agents.push(agent)
+    let gateway = this.#pick()
+    while (!this.isDisposed) {
+      await sleep(this.#random.exponential(PAUSE_MS))
+      const call = await this.#ask(gateway, agent, index)
+      if (call.end === 'no-connection') await sleep(RETRY_PAUSE_MS)
+      if (call.end !== 'whole' || this.#random.next() < MOVE_SHARE) gateway = this.#pick()
+    }
+  }
+
+  async #ask (gateway: SoakGateway, agent: Agent, index: number): Promise<CallRecord> {
+    const kind: Kind = KINDS[this.#random.below(KINDS.length)]!
+    const id = `q${this.#seq++}`
+    const account = index % 2 === 0 ? 'looms' : 'beads'
+    const startedAt = performance.now()
+    const answer = await askPlatform(gateway.callersPort, agent, {
+      id,
+      route: kind,
+      account,
+      deadlineMs: DEADLINE_MS,
+      promptParts: kind === 'stream' || kind === 'stream-resumable' ? this.#prompt(id) : [],
+      leaveAfterMs: this.#random.next() < LEAVE_SHARE ? LEAVE_AFTER_MS : Infinity
+    })
+    const { end, status, body, signature, reused } = answer
+    const call = { id, kind, gateway: gateway.name, account, startedAt, endedAt: performance.now(), end, status, body, signature, reused, answerId: answer.id }
+    this.calls.push(call)
+    return call
+  }
+
+  #prompt (id: string): string[] {
+    const session = this.#random.below(SESSIONS)
+    return [`t${session % TEMPLATES}:400`, `s${session}:600`, `${id}:50`]
+  }
+
+  #pick (): SoakGateway {
+    return this.#site.gateways[this.#random.below(this.#site.gateways.length)]!
+  }
+}
--- /dev/null
+++ b/src/soak/SoakSite.ts
@@ -0,0 +1,200 @@
+/** The soak's site: gateways as processes, stand-ins of store and workers, a proxy on each way between them. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { configurationRecord, CONFIGURATION_KEY, entryKey, READINESS_PATH, settingsFile } from '../standin/PlatformRecords.js'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { PlatformWorker } from '../standin/PlatformWorker.js'
+import { ProcessSet } from '../tools/ProcessSet.js'
+import { FaultProxy } from './FaultProxy.js'
+import { KINDS, type ExtraRoute, type RunRecord } from './Types.js'
+
+export const DRAIN_MS = 2_000
+export const GRACE_SEC = 8
+export const APPLY_MS = 2_000
+export const RETRY_RATIO = 0.2
+export const RETRY_BURST = 60
+export const ROUTE_TIMEOUT_MS = 2_000
+const WORK_MS = 20
+const EVENT_MS = 60
+const START_TIMEOUT_MS = 15_000
+const POLL_MS = 50
+const GATEWAY_FLAGS = ['--max-old-space-size=96', '--max-semi-space-size=1', '--single-threaded', '--optimize-for-size', '--no-opt'] // those of the deploy file
+
+/** One gateway and how callers and it reach others. */
+export interface SoakGateway {
+  readonly name: string
+  readonly address: string
+  readonly callers: FaultProxy
+  readonly callersPort: number
+  readonly store: FaultProxy
+  readonly storePort: number
+  readonly frontPort: number
+  readonly readinessPort: number
+}
+
+/** One worker, where gateways reach it. */
+export interface SoakWorker {
+  readonly name: string
+  readonly service: 'engines' | 'orders'
+  readonly worker: PlatformWorker
+  readonly proxy: FaultProxy
+  readonly proxyPort: number
+  /** When the store took its word that it leaves. */
+  leavingAt: number
+  ended: boolean
+}
+
+/** Sizes of a site. */
+export interface SoakSize {
+  readonly gateways: number
+  readonly engines: number
+  readonly orders: number
+}
+
+const DATA_CENTRES = ['a', 'b', 'c']
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => server.close(() => resolve()))
+  return port
+}
+
+export class SoakSite {
+  readonly store = new PlatformStore()
+  readonly gateways: SoakGateway[] = []
+  readonly workers: SoakWorker[] = []
+  readonly runs: RunRecord[] = []
+  readonly processes: ProcessSet
+  readonly logDir: string
+  /** Routes beyond the basic ones, in the order in which they were added. */
+  readonly extraRoutes: ExtraRoute[] = []
+  readonly #size: SoakSize
+  #version = 1
+  #workersMade = 0
+  #peerPort = 0
+
+  constructor (size: SoakSize) {
+    this.#size = size
+    this.logDir = mkdtempSync(join(tmpdir(), 'radishloft-soak-'))
+    this.processes = new ProcessSet(this.logDir)
+  }
+
+  get version (): number {
+    return this.#version
+  }
+
+  async start (): Promise<void> {
+    const storePort = await this.store.listen()
+    this.#peerPort = await freePort()
+    for (let i = 0; i < this.#size.engines; i++) await this.addWorker('engines')
+    for (let i = 0; i < this.#size.orders; i++) await this.addWorker('orders')
+    this.publish()
+    for (let i = 0; i < this.#size.gateways; i++) await this.#makeGateway(i, storePort)
+    for (const g of this.gateways) this.startGateway(g)
+    await Promise.all(this.gateways.map(g => this.untilReady(g)))
+  }
+
+  /** Starts a worker under a new id and lists it. */
+  async addWorker (service: SoakWorker['service']): Promise<SoakWorker> {
+    const name = `w${this.#workersMade++}`
+    const worker: PlatformWorker = new PlatformWorker(name, {
+      workMs: WORK_MS,
+      eventMs: EVENT_MS,
+      onRun: (id, account) => this.runs.push({ id, worker: name, at: performance.now(), account, overAt: Infinity }),
+      onOver: id => {
+        const run = this.runs.findLast(r => r.id === id && r.worker === name)
+        if (run !== undefined) run.overAt = performance.now()
+      }
+    })
+    await worker.listen()
+    const proxy = new FaultProxy(() => worker.port)
+    const made = { name, service, worker, proxy, proxyPort: await proxy.listen(), leavingAt: Infinity, ended: false }
+    this.workers.push(made)
+    this.list(made, 'ready')
+    return made
+  }
+
+  /** Writes the worker's entry. */
+  list (w: SoakWorker, state: 'ready' | 'draining'): void {
+    this.store.put(entryKey(w.name), w.worker.entry(w.service, state, w.proxyPort))
+    if (state === 'draining') w.leavingAt = performance.now()
+  }
+
+  /** Takes the worker's entry away. */
+  unlist (w: SoakWorker): void {
+    this.store.delete(entryKey(w.name))
+    w.leavingAt = Math.min(w.leavingAt, performance.now())
+  }
+
+  /** Ends a worker; its entry goes when `listed` is false. */
+  endWorker (w: SoakWorker, listed: boolean): void {
+    w.ended = true
+    w.worker.close()
+    w.proxy.dispose()
+    if (!listed) this.unlist(w)
+  }
+
+  /** Writes the next configuration. */
+  publish (): void {
+    this.#version += 3
+    const basic = KINDS.map(kind => ({ name: kind, kind, service: kind === 'read' || kind === 'write' ? 'orders' : 'engines' }))
+    const extra = this.extraRoutes.filter(r => r.removedAt === Infinity).map(r => ({ name: r.name, kind: 'read' as const, service: 'orders' }))
+    this.store.put(CONFIGURATION_KEY, configurationRecord(this.#version, [...basic, ...extra], ROUTE_TIMEOUT_MS))
+  }
+
+  startGateway (g: SoakGateway): void {
+    const settings = join(this.logDir, `${g.name}.json`)
+    this.writeSettings(g, RETRY_BURST)
+    const main = fileURLToPath(new URL('../platform/main.js', import.meta.url))
+    this.processes.start(g.name, main, [], { flags: GATEWAY_FLAGS, env: { RADISHLOFT_CONFIG: settings } })
+  }
+
+  writeSettings (g: SoakGateway, retryBurst: number): void {
+    const dataCentre = DATA_CENTRES[this.gateways.indexOf(g) % DATA_CENTRES.length]!
+    const seeds = this.gateways.slice(0, 3).map(s => s.address)
+    const bounds = { drainMs: DRAIN_MS, graceSec: GRACE_SEC, retryRatio: RETRY_RATIO, retryBurst }
+    writeFileSync(join(this.logDir, `${g.name}.json`), settingsFile({ ...g, dataCentre, peerPort: this.#peerPort, seeds, bounds }))
+  }
+
+  async isReady (g: SoakGateway): Promise<boolean> {
+    try {
+      return (await fetch(`http://127.0.0.1:${g.readinessPort}${READINESS_PATH}`, { signal: AbortSignal.timeout(500) })).status === 200
+    } catch {
+      return false // not listening, stopped or silent: not ready in each case
+    }
+  }
+
+  async untilReady (g: SoakGateway): Promise<void> {
+    const end = performance.now() + START_TIMEOUT_MS
+    while (performance.now() < end && !await this.isReady(g)) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+  }
+
+  async stop (keepLogs: boolean): Promise<void> {
+    await this.processes.killAll()
+    for (const g of this.gateways) [g.callers, g.store].forEach(proxy => proxy.dispose())
+    for (const w of this.workers) this.endWorker(w, true)
+    this.store.close()
+    if (!keepLogs) rmSync(this.logDir, { recursive: true, force: true })
+  }
+
+  async #makeGateway (index: number, storePort: number): Promise<void> {
+    const frontPort = await freePort()
+    const callers = new FaultProxy(() => frontPort)
+    const store = new FaultProxy(() => storePort)
+    this.gateways.push({
+      name: `g${index}`,
+      address: `127.0.${1 + Math.floor(index / 200)}.${1 + index % 200}`,
+      callers,
+      callersPort: await callers.listen(),
+      store,
+      storePort: await store.listen(),
+      frontPort,
+      readinessPort: await freePort()
+    })
+  }
+}
--- /dev/null
+++ b/src/soak/main.ts
@@ -0,0 +1,100 @@
+#!/usr/bin/env node
+/**
+ * `npm run soak -- --seed N --seconds S [--gateways K]`: real gateways as processes on loopback under faults drawn by
+ * a seed. Prints one JSON line; exit code 1 when a promise was broken, with the trace of the first break and the logs kept.
+ */
+import { readFileSync } from 'node:fs'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Command } from 'commander'
+import { SeededRandom } from '../common/SeededRandom.js'
+import { findBreaks, type Seen } from './Checks.js'
+import { RouteProbes } from './RouteProbes.js'
+import { SoakCallers } from './SoakCallers.js'
+import { SoakFaults } from './SoakFaults.js'
+import { APPLY_MS, DRAIN_MS, RETRY_BURST, RETRY_RATIO, SoakSite, type SoakSize } from './SoakSite.js'
+import type { Break } from './Types.js'
+
+const SETTLE_MS = 3_500 // until all gateways are in touch
+const QUIET_MS = 1_500 // for what is still under way at the end
+const MAX_TRACE_LINES = 40
+const CALLERS_PER_GATEWAY = 3
+
+/** What the command line asks for. */
+interface Flags extends SoakSize {
+  readonly seed: number
+  readonly seconds: number
+}
+
+function count (values: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const value of values) counts[value] = (counts[value] ?? 0) + 1
+  return counts
+}
+
+/** What the callers, the workers and the logs say of a break. */
+function trace (site: SoakSite, seen: Seen, first: Break): void {
+  const call = seen.calls.find(c => c.id === first.id)
+  console.error(JSON.stringify({ first, call, runs: seen.runs.filter(r => r.id === first.id) }))
+  const around = seen.timeline.events.filter(e => e.from <= first.at && e.to >= first.at - 2 * SETTLE_MS)
+  for (const e of around) console.error(JSON.stringify(e))
+  for (const g of site.gateways) {
+    const lines = readFileSync(site.processes.logFile(g.name), 'utf8').split('\n')
+    lines.filter(line => line.includes(`"${first.id}"`)).slice(0, MAX_TRACE_LINES).forEach(line => console.error(line))
+  }
+  console.error(`logs are kept in ${site.logDir}`)
+}
+
+async function run (flags: Flags): Promise<number> {
+  const site = new SoakSite(flags)
+  let failed = true
+  try {
+    await site.start()
+    const faults = new SoakFaults(site, new SeededRandom(flags.seed))
+    const callers = new SoakCallers(site, new SeededRandom(flags.seed + 1))
+    const probes = new RouteProbes(site, faults.lives)
+    const running = [callers.run(flags.gateways * CALLERS_PER_GATEWAY), probes.run()]
+    await sleep(SETTLE_MS)
+    await faults.run(flags.seconds)
+    await sleep(QUIET_MS)
+    callers.dispose()
+    probes.dispose()
+    await Promise.all(running)
+    const seen: Seen = {
+      calls: callers.calls,
+      runs: site.runs,
+      probes: probes.probes,
+      routes: site.extraRoutes,
+      leavingAt: new Map(site.workers.map(w => [w.name, w.leavingAt])),
+      timeline: faults.timeline,
+      drainMs: DRAIN_MS,
+      applyMs: APPLY_MS,
+      retryRatio: RETRY_RATIO,
+      retryBurst: RETRY_BURST
+    }
+    const breaks = findBreaks(seen)
+    failed = breaks.length > 0
+    if (failed) trace(site, seen, breaks[0]!)
+    console.log(JSON.stringify({
+      seed: flags.seed,
+      seconds: flags.seconds,
+      gateways: flags.gateways,
+      calls: seen.calls.length,
+      ends: count(seen.calls.map(c => c.end === 'whole' ? String(c.status) : c.end)),
+      probes: seen.probes.length,
+      faults: faults.counts,
+      broken: count(breaks.map(b => b.rule))
+    }))
+    return failed ? 1 : 0
+  } finally {
+    await site.stop(failed)
+  }
+}
+
+const program = new Command('soak')
+  .option('--seed <n>', 'seed', Number, 1)
+  .option('--seconds <n>', 'time under faults', Number, 30)
+  .option('--gateways <n>', 'gateway processes', Number, 9)
+  .option('--engines <n>', 'stand-ins of engines', Number, 6)
+  .option('--orders <n>', 'stand-ins of the plain service', Number, 3)
+program.parse()
+process.exit(await run(program.opts<Flags>()))
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 
-const EVENTS = 4
+/** Events of a whole stream. */
+export const EVENTS = 4
 
 /** How the worker treats the next requests. */
 export type WorkerMood =
@@ -20,6 +21,18 @@
   /** Answers with another request's id. */
   | 'confused'
 
+/** What a worker does beside answering. */
+export interface WorkerOptions {
+  /** Time from a request to its answer or first event. */
+  readonly workMs?: number
+  /** Time between events. */
+  readonly eventMs?: number
+  /** Called when a request begins to run, with the client account that it runs for. */
+  readonly onRun?: (id: string, account: string) => void
+  /** Called when a request is over: its answer was sent, or its connection closed before. */
+  readonly onOver?: (id: string) => void
+}
+
 export class PlatformWorker {
   mood: WorkerMood = 'well'
   /** Ids of the requests that ran, in order. */
@@ -30,15 +43,22 @@
   cancelled = 0
   readonly #id: string
   readonly #server: Server
+  readonly #options: WorkerOptions
   #port = 0
+  #running = 0
 
-  constructor (id: string) {
+  constructor (id: string, options: WorkerOptions = {}) {
     this.#id = id
+    this.#options = options
     this.#server = createServer((req, res) => this.#read(req, res))
   }
 
-  async listen (): Promise<void> {
-    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
+  get port (): number {
+    return this.#port
+  }
+
+  async listen (port = 0): Promise<void> {
+    await new Promise<void>(resolve => this.#server.listen(port, '127.0.0.1', resolve))
     this.#port = (this.#server.address() as AddressInfo).port
   }
 
@@ -48,15 +68,18 @@
   }
 
   /** The worker's entry in the store. */
-  entry (service: string, state: 'ready' | 'draining' = 'ready'): object {
-    return { service, address: `127.0.0.1:${this.#port}`, zone: 'a', version: 'v1', slots: 8, state, cold_left_ms: 0, seq_no: 1 }
+  entry (service: string, state: 'ready' | 'draining' = 'ready', port = this.#port): object {
+    return { service, address: `127.0.0.1:${port}`, zone: 'a', version: 'v1', slots: 8, state, cold_left_ms: 0, seq_no: 1 }
   }
 
   #read (req: IncomingMessage, res: ServerResponse): void {
     const chunks: Buffer[] = []
     req.on('data', (chunk: Buffer) => chunks.push(chunk))
     req.on('end', () => this.#serve(req, res, Buffer.concat(chunks)))
-    res.on('close', () => { if (!res.writableFinished) this.cancelled++ })
+    res.on('close', () => {
+      if (!res.writableFinished) this.cancelled++
+      this.#options.onOver?.(String(req.headers['attempt-id']))
+    })
   }
 
   #serve (req: IncomingMessage, res: ServerResponse, body: Buffer): void {
@@ -71,12 +94,21 @@
       return
     }
     this.ran.push(id)
+    this.#options.onRun?.(id, String(req.headers.tenant ?? ''))
     if (this.mood === 'mute') return
+    this.#running++
+    res.once('close', () => { this.#running-- })
+    const { workMs } = this.#options
+    if (workMs === undefined) this.#answer(req, res, id, body)
+    else setTimeout(() => { if (!res.destroyed) this.#answer(req, res, id, body) }, workMs)
+  }
+
+  #answer (req: IncomingMessage, res: ServerResponse, id: string, body: Buffer): void {
     if (this.mood === 'losing') {
       (req.socket as Socket).resetAndDestroy()
       return
     }
-    const headers = { 'attempt-id': this.mood === 'confused' ? 'another' : id, 'server-signature': `${this.#id}.${id}`, 'server-load': '1,0,8' }
+    const headers = { 'attempt-id': this.mood === 'confused' ? 'another' : id, 'server-signature': `${this.#id}.${id}`, 'server-load': `${this.#running},0,8` }
     if (this.mood === 'failing') res.writeHead(500, headers).end('failed')
     else if (req.url?.startsWith('/stream') === true) this.#stream(req, res, headers)
     else res.writeHead(200, headers).end(`answer to ${id}: ${body.toString()}`)
@@ -85,14 +117,20 @@
   /** Events 1 to 4, or those after the last that the caller has. */
   #stream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
-    const from = Number(req.headers['last-event-id'] ?? 0)
-    for (let event = from + 1; event <= EVENTS; event++) {
-      if (this.mood === 'tearing' && event === 2) {
-        res.write('id: 2\ndata: to', () => (req.socket as Socket).resetAndDestroy())
-        return
-      }
+    this.#event(req, res, Number(req.headers['last-event-id'] ?? 0) + 1)
+  }
+
+  #event (req: IncomingMessage, res: ServerResponse, event: number): void {
+    if (res.destroyed) return
+    if (event > EVENTS) {
+      res.end()
+    } else if (this.mood === 'tearing' && event === 2) {
+      res.write('id: 2\ndata: to', () => (req.socket as Socket).resetAndDestroy())
+    } else {
       res.write(`id: ${event}\ndata: token${event}\n\n`)
+      const { eventMs } = this.#options
+      if (eventMs === undefined) this.#event(req, res, event + 1)
+      else setTimeout(() => this.#event(req, res, event + 1), eventMs)
     }
-    res.end()
   }
 }
--- a/src/tools/Site.ts
+++ b/src/tools/Site.ts
@@ -1,7 +1,6 @@
 /** Starts a site of separate processes on loopback, and breaks them on request. A development tool: routers start no process. */
-import { spawn, type ChildProcess } from 'node:child_process'
 import { createHash } from 'node:crypto'
-import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -11,24 +10,18 @@
 import type { EngineFaults, EngineStats } from '../standin/EngineServer.js'
 import type { PlatformFaults } from '../standin/PlatformServer.js'
 import type { ServiceFaults, ServiceStats } from '../standin/ServiceServer.js'
+import { ProcessSet } from './ProcessSet.js'
 import { namesOf, votedFile, type SiteNames, type SiteSpec } from './SiteSpec.js'
 
 const PEER_SECRET = 'development-peer-secret'
 const START_TIMEOUT_MS = 20_000
 const POLL_MS = 50
-const CLOCK_TICKS_PER_SEC = 100
-
-/** A process of the site. */
-interface Proc {
-  readonly child: ChildProcess
-  readonly exited: Promise<number | null>
-}
 
 export class Site {
   readonly spec: SiteSpec
   readonly names: SiteNames
   readonly #dir = mkdtempSync(join(tmpdir(), 'radishloft-'))
-  readonly #procs = new Map<string, Proc>()
+  readonly #procs = new ProcessSet(this.#dir)
   readonly #gone = new Set<string>()
   #revision = 0
 
@@ -94,19 +87,17 @@
 
   /** Sends a signal to a process by its id. */
   signal (id: string, signal: NodeJS.Signals): void {
-    this.#procs.get(id)?.child.kill(signal)
+    this.#procs.signal(id, signal)
   }
 
   /** Processor time of a process since its start. */
   cpuSeconds (id: string): number {
-    const stat = readFileSync(`/proc/${this.#procs.get(id)!.child.pid}/stat`, 'utf8')
-    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
-    return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SEC
+    return this.#procs.cpuSeconds(id)
   }
 
   /** Waits for a process to exit; gives its exit code. */
   async exited (id: string): Promise<number | null> {
-    return await (this.#procs.get(id)?.exited ?? Promise.resolve(null))
+    return await this.#procs.exited(id)
   }
 
   /** Publishes a file as the users would; returns its digest. */
@@ -208,21 +199,12 @@
 
   /** Ends all processes that this site started. */
   async stop (keepLogs = false): Promise<void> {
-    for (const { child } of this.#procs.values()) {
-      child.kill('SIGCONT')
-      child.kill('SIGKILL')
-    }
-    await Promise.all([...this.#procs.values()].map(p => p.exited))
+    await this.#procs.killAll()
     if (!keepLogs) rmSync(this.#dir, { recursive: true, force: true })
   }
 
   #spawn (id: string, program: 'router' | 'standin', args: readonly string[]): void {
-    const main = fileURLToPath(new URL(`../${program}/main.js`, import.meta.url))
-    const log = openSync(join(this.#dir, `${id}.log`), 'a')
-    const child = spawn(process.execPath, [main, ...args], { stdio: ['ignore', log, log] })
-    closeSync(log)
-    const exited = new Promise<number | null>(resolve => child.once('exit', code => resolve(code)))
-    this.#procs.set(id, { child, exited })
+    this.#procs.start(id, fileURLToPath(new URL(`../${program}/main.js`, import.meta.url)), args)
   }
 
   async #untilUp (port: number, path: string): Promise<void> {
