Tell the data centre of a read directly; let one instance ask for an unpublished configuration

Readers of other data centres heard of a read only by chance. Change: a reader tells its data centre and the other readers at once; a leaving instance is told too, and no longer reads as often as a reader; only readers ask again for a configuration that isn't there.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -13,7 +13,7 @@
 import { GatewayMetrics } from './GatewayMetrics.js'
 import { HolderTask } from './HolderTask.js'
 import { PeerParts } from './PeerParts.js'
-import { PeerTask, unitOf } from './PeerTask.js'
+import { CONFIG_TOPIC, LIST_TOPIC, PeerTask, unitOf } from './PeerTask.js'
 import { RequestLog } from './RequestLog.js'
 import { StatusServer } from './StatusServer.js'
 import type { IRequestCodec } from './Types.js'
@@ -126,6 +126,7 @@
   /** Takes the list of endpoints in, as the platform gave it. @param ageMs time since the read began. */
   offerEndpoints (list: EndpointList, ageMs: number): void {
     this.#takeEndpoints(list, ageMs)
+    this.#peers.tellRead()
   }
 
   /** The list of endpoints could not be read. @param ageMs time since that read began. */
@@ -135,7 +136,7 @@
 
   /** True when this gateway waits for configurations on behalf of its data centre. */
   get readsConfig (): boolean {
-    return this.#peers.reads('config')
+    return this.#peers.reads(CONFIG_TOPIC)
   }
 
   /** Time until this gateway should ask the platform for the configuration, given what peers told. */
@@ -143,9 +144,9 @@
     return readWaitMs(false, this.#config.ageMs, intervalMs, unitOf(this.#settings.id))
   }
 
-  /** Time until this gateway should read the list of endpoints, given what peers told; they tell one that leaves nothing. */
+  /** Time until this gateway should read the list of endpoints, given what peers told. */
   listWaitMs (intervalMs: number): number {
-    return readWaitMs(this.#stopping || this.#peers.reads('endpoints'), this.#pool.listAgeMs, intervalMs, unitOf(this.#settings.id))
+    return readWaitMs(this.#peers.reads(LIST_TOPIC), this.#pool.listAgeMs, intervalMs, unitOf(this.#settings.id))
   }
 
   async start (): Promise<void> {
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -20,8 +20,15 @@
 const NEWS_FANOUT = 3
 const FAILURE_NEWS_INTERVAL_MS = 100
 const URGENT_FANOUT = 6 // a change is pushed on by each that learns of it
+const SPREAD_INTERVAL_MS = 100
+const WORTH_SPREADING_MS = 200 // by which a view became newer
+const MAX_SPREAD = 64 // peers told directly of a read; the others hear from those
 const UNKNOWN_AGE_MS = 3_600_000 // an age that can be sent where there is none
 
+/** Topics of read duty. */
+export const CONFIG_TOPIC = 'config'
+export const LIST_TOPIC = 'endpoints'
+
 /** What the task tells and asks of the gateway. */
 export interface IPeerHost {
   viewAge (): ViewAge
@@ -43,6 +50,7 @@
   readonly #membership: Membership
   #nextNewsAt = 0
   #nextFailureNewsAt = 0
+  #nextSpreadAt = 0
 
   constructor (self: InstanceAddress, clock: IClock, random: IRandom, counter: IControlCounter, log: Log, host: IPeerHost) {
     super()
@@ -92,6 +100,11 @@
     this.#sendNews(URGENT_FANOUT)
   }
 
+  /** Tells the own data centre and the readers of the others that the list was just read. */
+  tellRead (): void {
+    this.#spread(true)
+  }
+
   /** Pushes that a request failed at an endpoint, unless that was just done: what is told fades in seconds. */
   tellFailure (): void {
     const now = this.#clock.nowMs()
@@ -113,17 +126,45 @@
     this.#sendNews(NEWS_FANOUT)
   }
 
-  #sendNews (fanout: number): void {
+  /** Sends the news to the own data centre, and to the readers of the others when this instance read by itself. */
+  #spread (toReaders: boolean): void {
+    const now = this.#clock.nowMs()
+    if (now < this.#nextSpreadAt) return
+    this.#nextSpreadAt = now + SPREAD_INTERVAL_MS
+    const near = this.#membership.usable(this.self.dataCentre).filter(id => id !== this.self.id)
+    const news = this.#news()
+    for (const id of [...this.#some(near, MAX_SPREAD), ...toReaders ? this.#farReaders() : []]) this.#sendTo(id, news)
+  }
+
+  /** Readers of the list in the other data centres. */
+  #farReaders (): string[] {
+    const dataCentres = new Set(this.#membership.members.map(m => m.dataCentre))
+    dataCentres.delete(this.self.dataCentre)
+    return [...dataCentres].map(dc => readerOf(LIST_TOPIC, this.#membership.usable(dc))).filter(id => id !== undefined)
+  }
+
+  #news (): NewsDatagram {
     const { configRevision, configAgeMs, listRevision, listDigest, listAgeMs } = this.#host.viewAge()
-    const news: NewsDatagram = {
-      kind: 'news', id: this.self.id, configRevision, configAgeMs: finite(configAgeMs), listRevision, listDigest, listAgeMs: finite(listAgeMs), loads: this.#host.freshLoads()
-    }
-    const peers = this.#membership.usable().filter(id => id !== this.self.id)
-    for (let i = 0; i < fanout && peers.length > 0; i++) {
-      const [id] = peers.splice(Math.floor(this.#random.next() * peers.length), 1)
-      const peer = this.#membership.member(id!)
-      if (peer !== undefined) this.#socket.send(peer, news)
-    }
+    const ages = { configAgeMs: finite(configAgeMs), listAgeMs: finite(listAgeMs) }
+    return { kind: 'news', id: this.self.id, configRevision, listRevision, listDigest, ...ages, loads: this.#host.freshLoads() }
+  }
+
+  /** Tells some peers, those too that leave: they serve on for a while. */
+  #sendNews (fanout: number): void {
+    const peers = this.#membership.members.filter(m => m.state !== 'dead').map(m => m.id)
+    const news = this.#news()
+    for (const id of this.#some(peers, fanout)) this.#sendTo(id, news)
+  }
+
+  /** So many of `ids` at random. */
+  #some (ids: string[], count: number): string[] {
+    if (ids.length <= count) return ids
+    return Array.from({ length: count }, () => ids.splice(Math.floor(this.#random.next() * ids.length), 1)[0]!)
+  }
+
+  #sendTo (id: string, news: NewsDatagram): void {
+    const peer = this.#membership.member(id)
+    if (peer !== undefined) this.#socket.send(peer, news)
   }
 
   #receive (datagram: PeerDatagram): void {
@@ -139,11 +180,18 @@
     if (config === 'confirm') this.#host.confirmConfig(news.configAgeMs)
     else if (config === 'fetch' && peer !== undefined) this.#host.fetch('config', peer, news.configAgeMs)
     const list = judgeList(own, news)
-    if (list === 'confirm') this.#host.confirmList(news.listRevision, news.listAgeMs)
+    if (list === 'confirm') this.#confirmList(news, own)
     else if (list === 'fetch' && peer !== undefined) this.#host.fetch('endpoints', peer, news.listAgeMs)
     if (config === 'fetch' || list === 'fetch') this.#log.debug({ step: 'peers', peer: news.id, config, list }, 'peer knows more')
   }
 
+  /** A reader passes what another data centre's reader read on to its own data centre. */
+  #confirmList (news: NewsDatagram, own: ViewAge): void {
+    this.#host.confirmList(news.listRevision, news.listAgeMs)
+    const far = this.#membership.member(news.id)?.dataCentre !== this.self.dataCentre
+    if (far && own.listAgeMs - news.listAgeMs > WORTH_SPREADING_MS && this.reads(LIST_TOPIC)) this.#spread(false)
+  }
+
   #send (out: readonly Outgoing[]): void {
     for (const o of out) this.#socket.send(o.to, o.datagram)
   }
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -9,6 +9,8 @@
 
 const WATCH_WAIT_MS = 1_500 // a connection that went silent is noticed soon after
 const CONFIG_FALLBACK_MS = 1_600 // without word from a peer
+const UNPUBLISHED_POLL_MS = 400
+const UNPUBLISHED_WAIT_MS = 2_500 // for news of the first configuration, before an instance asks by itself
 const POLL_MS = 100 // how often it is asked whether a read is due
 const RETRY_MIN_MS = 150
 const RETRY_MAX_MS = 1_200
@@ -78,6 +80,7 @@
 export class ConfigReader extends StoreReader {
   readonly #receiver: IStoreReceiver
   #after: number | undefined
+  #toldMissing = false
 
   constructor (store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver) {
     super('config', store, random, log)
@@ -92,6 +95,7 @@
     }
     const read = this.#after === undefined ? await this.store.key(CONFIG_KEY) : await this.store.watch(CONFIG_KEY, this.#after, WATCH_WAIT_MS)
     if (read.isErr()) {
+      if (read.error.kind === 'not-found') return this.#notPublished()
       if (read.error.kind === 'history-gone' || read.error.kind === 'malformed') this.#after = undefined
       return this.failed(read.error)
     }
@@ -100,6 +104,14 @@
     return 0
   }
 
+  /** No configuration was ever published: one instance asks again and again, the others wait for its news. */
+  #notPublished (): number {
+    this.succeeded()
+    if (!this.#toldMissing) this.log.info({ step: 'config' }, 'no configuration is published yet')
+    this.#toldMissing = true
+    return this.#receiver.readsConfig ? UNPUBLISHED_POLL_MS : UNPUBLISHED_WAIT_MS
+  }
+
   #take (read: StoreRead): void {
     this.#after = read.at
     for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
