Hand on the list of endpoints as it was read

After a cut an instance keeps endpoints that its list misses for 2.2 s. It handed them on with its list, at the newest revision: instances that had dropped the engine took it up again, and two lists of one revision chased each other through the fleet (the log of 13 instances shows the engine joining and going again up to a second time from 40 to 42 s, after the cut ended at 39.7 s). Change: the list that is handed on, and its digest, are what was read; what is kept after an outage stays with the instance and goes in time although nothing else changes. Test: fails before, passes after.

--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -19,7 +19,9 @@
 }
 
 export class EndpointTable {
+  /** What counts as listed: the list as read, and what is kept for a while after an outage. */
   #endpoints = new Map<string, Endpoint>()
+  #listed: readonly Endpoint[] = []
   #byService = new Map<string, readonly Endpoint[]>()
   #listedAt = -Infinity
   #revision = 0
@@ -40,14 +42,14 @@
     return this.#revision
   }
 
-  /** Digest of what the list says; equal digests mean equal lists. */
+  /** Digest of what the list said; equal digests mean equal lists. */
   get digest (): number {
     return this.#digest
   }
 
-  /** The list as last read. */
+  /** The list as last read, to hand on: what this instance keeps beyond it may be gone for others. */
   get list (): EndpointList {
-    return { revision: this.#revision, endpoints: [...this.#endpoints.values()] }
+    return { revision: this.#revision, endpoints: this.#listed }
   }
 
   /** Endpoints of a service that may take new work. */
@@ -60,9 +62,11 @@
   }
 
   /** The same endpoints are listed at a later revision, as read at `listedAt`. */
-  confirm (revision: number, listedAt: number): void {
+  confirm (revision: number, listedAt: number, now: number): void {
     this.#revision = Math.max(this.#revision, revision)
     this.#listedAt = Math.max(this.#listedAt, listedAt)
+    const keeps = this.#endpoints.size > this.#listed.length
+    if (keeps && now >= this.#graceUntil) this.take(this.list, this.#listedAt, now)
   }
 
   /** A read of the list that began at `at` failed. */
@@ -86,7 +90,8 @@
     for (const e of next.values()) this.#compare(e, sinceListMs)
     this.#endpoints = next
     this.#byService = groupUsable(next.values())
-    this.#digest = digestOfSet([...next.values()].map(e => `${endpointKey(e)} ${e.leaving ? 'leaving' : ''}`))
+    this.#listed = list.endpoints
+    this.#digest = digestOfSet(list.endpoints.map(e => `${endpointKey(e)} ${e.leaving ? 'leaving' : ''}`))
     this.#listedAt = listedAt
     this.#revision = list.revision
   }
--- a/src/common/routing/Routing.test.ts
+++ b/src/common/routing/Routing.test.ts
@@ -88,6 +88,20 @@
     expect([atReturn, soonAfter, table.usable('pool').map(e => e.id), table.get('c')]).toEqual([['a', 'b'], ['a', 'b'], ['a'], undefined])
   })
 
+  it('hands on the list as read, without what it keeps after an outage, and drops that in time though nothing else changes', () => {
+    const table = new EndpointTable()
+    table.take(list(1, 'a', 'b'), 0, 0)
+    table.readFailed(1_000)
+    table.take(list(2, 'a'), 6_000, 6_000)
+    const other = new EndpointTable()
+    other.take(list(2, 'a'), 6_000, 6_000)
+    expect([table.list.endpoints.map(e => e.id), table.digest === other.digest, table.usable('pool').map(e => e.id)]).toEqual([['a'], true, ['a', 'b']])
+    table.confirm(3, 7_000, 7_000)
+    const soon = table.usable('pool').length
+    table.confirm(4, 8_300, 8_300)
+    expect([soon, table.usable('pool').map(e => e.id)]).toEqual([2, ['a']])
+  })
+
   it('removes an endpoint at once when the list was read late or one read failed, though it was not out of reach', () => {
     const late = new EndpointTable()
     late.take(list(1, 'a', 'b'), 0, 0)
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -57,6 +57,12 @@
     this.table.take(list, now - ageMs, now)
   }
 
+  /** The list says at a later revision what it said, as read `ageMs` ago. */
+  confirm (revision: number, ageMs: number): void {
+    const now = this.#clock.nowMs()
+    this.table.confirm(revision, now - ageMs, now)
+  }
+
   /** A read of the list failed that began `ageMs` ago. */
   readFailed (ageMs: number): void {
     this.table.readFailed(this.#clock.nowMs() - ageMs)
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -203,7 +203,7 @@
       freshLoads: () => this.#pool.freshLoads(),
       told: loads => this.#pool.told(loads),
       confirmConfig: ageMs => this.#config.confirm(ageMs),
-      confirmList: (revision, ageMs) => this.#pool.table.confirm(revision, this.#clock.nowMs() - ageMs),
+      confirmList: (revision, ageMs) => this.#pool.confirm(revision, ageMs),
       fetch: (part, from, ageMs) => { this.#parts.fetch(part, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part, err: String(e) }, 'fetch failed')) }
     }
   }
