Part the news between gateways from their membership; spread the readers' moments

Readers of several data centres, told of each read at once, then all read again at the same moment, so that hearing of each other saved little. Change: NewsTask tells and hears views, loads and outcomes; PeerTask keeps socket and membership. Each reader's interval is up to a fifth longer, by its id. One function finds free ports for tests and the soak.

--- a/scripts/verify.sh
+++ b/scripts/verify.sh
@@ -18,4 +18,5 @@
 step 'unit and property tests' npm run -s test
 step 'model checking' npm run -s model
 step 'scenarios' npm run -s scenario
+step 'soak, one short seeded run' npm run -s soak -- --seed 1 --seconds 15 --gateways 6
 echo 'verify: all steps passed'
--- a/src/common/peers/Peers.test.ts
+++ b/src/common/peers/Peers.test.ts
@@ -30,7 +30,7 @@
 
   it('lets others wait for news, and makes them read by themselves within 1.8 intervals without any', () => {
     const waits = ids.map((_, i) => readWaitMs(false, 0, 1_000, i / ids.length))
-    expect(readWaitMs(true, 0, 1_000, 0.5)).toBe(1_000)
+    expect([readWaitMs(true, 0, 1_000, 0), readWaitMs(true, 0, 1_000, 1)]).toEqual([1_000, 1_200])
     expect(Math.min(...waits)).toBeGreaterThanOrEqual(1_600)
     expect(Math.max(...waits)).toBeLessThanOrEqual(1_800)
     expect(readWaitMs(false, Infinity, 1_000, 1)).toBe(0)
--- a/src/common/peers/ReadDuty.ts
+++ b/src/common/peers/ReadDuty.ts
@@ -6,6 +6,7 @@
 import { hashString } from '../Hash.js'
 import { rankTop } from '../Rendezvous.js'
 
+const READER_SPREAD = 0.2 // of the interval: the first to read spares the readers of other data centres the call
 const FALLBACK_PART = 1.6 // of the reader's interval: time for a late reader and for the news to spread
 const FALLBACK_SPREAD = 0.2 // of the interval, so that not all fall back at the same moment
 
@@ -17,6 +18,7 @@
 
 /** Time until an instance should read, given the age of what it knows. @param unit 0 to 1, fixed for an instance. */
 export function readWaitMs (isReader: boolean, ageMs: number, intervalMs: number, unit: number): number {
-  const most = isReader ? intervalMs : intervalMs * (FALLBACK_PART + FALLBACK_SPREAD * unit)
+  const parts = isReader ? 1 + READER_SPREAD * unit : FALLBACK_PART + FALLBACK_SPREAD * unit
+  const most = intervalMs * parts
   return Math.max(0, most - ageMs)
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -12,6 +12,7 @@
 import { FrontServer } from './FrontServer.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import { HolderTask } from './HolderTask.js'
+import { NewsTask, type INewsHost } from './NewsTask.js'
 import { PeerParts } from './PeerParts.js'
 import { CONFIG_TOPIC, LIST_TOPIC, PeerTask, unitOf } from './PeerTask.js'
 import { RequestLog } from './RequestLog.js'
@@ -62,6 +63,7 @@
   readonly #front: FrontServer
   readonly #status: StatusServer[]
   readonly #peers: PeerTask
+  readonly #news: NewsTask
   readonly #parts: PeerParts
   readonly #budgets = new Map<string, RetryBudget>()
   /** Most gateways that were live at once: one that is cut off must not spend the others' part. */
@@ -81,7 +83,8 @@
       metrics.configRevision.set(revision)
     }))
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
-    this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, this.#peerHost()))
+    this.#peers = this.own(new PeerTask(self, clock, random, metrics, log, () => this.#config.revision))
+    this.#news = this.own(new NewsTask(this.#peers, clock, random, log, this.#newsHost()))
     this.#parts = this.own(new PeerParts(this.#partSource(), log))
     const holders = this.own(new HolderTask(this.#peers, clock, this.#pool))
     const services = {
@@ -98,8 +101,8 @@
     }
     this.#front = this.own(new FrontServer(services))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
-    this.own(this.#config.onChange(() => this.#peers.announce()))
-    this.own(this.#pool.onFailure(() => this.#peers.tellFailure()))
+    this.own(this.#config.onChange(() => this.#news.announce()))
+    this.own(this.#pool.onFailure(() => this.#news.tellFailure()))
     this.#status = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
 
@@ -126,7 +129,7 @@
   /** Takes the list of endpoints in, as the platform gave it. @param ageMs time since the read began. */
   offerEndpoints (list: EndpointList, ageMs: number): void {
     this.#takeEndpoints(list, ageMs)
-    this.#peers.tellRead()
+    this.#news.tellRead()
   }
 
   /** The list of endpoints could not be read. @param ageMs time since that read began. */
@@ -153,6 +156,7 @@
     const { callers, readiness, metrics, peerPort, seeds } = this.#settings
     await this.#parts.listen(metrics.address, peerPort)
     await this.#peers.start(seeds)
+    this.#news.start()
     await this.#front.listen(callers.address, callers.port)
     await this.#status[0]!.listen(readiness.address, readiness.port)
     await this.#status[1]!.listen(metrics.address, metrics.port)
@@ -189,7 +193,7 @@
   #takeEndpoints (list: EndpointList, ageMs: number): void {
     const before = this.#pool.table.digest
     this.#pool.take(list, ageMs)
-    if (this.#pool.table.digest !== before) this.#peers.announce()
+    if (this.#pool.table.digest !== before) this.#news.announce()
   }
 
   #viewAge (): ViewAge {
@@ -197,7 +201,7 @@
     return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listRevision, listDigest, listAgeMs: this.#pool.listAgeMs }
   }
 
-  #peerHost (): ConstructorParameters<typeof PeerTask>[5] {
+  #newsHost (): INewsHost {
     return {
       viewAge: () => this.#viewAge(),
       freshLoads: () => this.#pool.freshLoads(),
--- a/src/platform/Deploy.test.ts
+++ b/src/platform/Deploy.test.ts
@@ -1,11 +1,11 @@
 /** Starts the built gateway with the flags of the deploy file. Run `npm run build` first; `npm run verify` does. */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 import { afterEach, describe, expect, it } from 'vitest'
+import { freePorts } from '../tools/FreePort.js'
 
 const ERROR_LEVEL = 50
 const STEADY_MS = 500
@@ -18,14 +18,6 @@
 let child: ChildProcess | undefined
 afterEach(() => { child?.kill('SIGKILL') })
 
-async function freePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  await Promise.all(servers.map(async s => await new Promise<void>(resolve => { s.listen(0, '127.0.0.1', resolve) })))
-  const ports = servers.map(s => (s.address() as AddressInfo).port)
-  await Promise.all(servers.map(async s => await new Promise<void>(resolve => { s.close(() => resolve()) })))
-  return ports
-}
-
 /** Words of `run`, with the build for development in place of the deployed one. */
 function commandOf (deployFile: string): string[] {
   const run = /^run = "(.*)"$/m.exec(readFileSync(deployFile, 'utf8'))?.[1] ?? ''
--- a/src/platform/Path.test.ts
+++ b/src/platform/Path.test.ts
@@ -1,6 +1,5 @@
 /** The whole path on loopback: a caller, gateways, and stand-ins of the platform's store and workers. */
 import { request } from 'node:http'
-import { createServer, type AddressInfo } from 'node:net'
 import { pino } from 'pino'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { SeededRandom } from '../common/SeededRandom.js'
@@ -9,6 +8,7 @@
 import { SystemClock } from '../router/telemetry/Clock.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker, type WorkerMood } from '../standin/PlatformWorker.js'
+import { freePort } from '../tools/FreePort.js'
 import { RequestCodec } from './RequestCodec.js'
 import { StoreClient } from './StoreClient.js'
 import { ConfigReader, EndpointReader } from './StoreReaders.js'
@@ -39,14 +39,6 @@
   while (!holds()) await sleep(10)
 }
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => server.close(() => resolve()))
-  return port
-}
-
 /** @param address loopback address, one for each gateway, as all of them use one peer port. */
 async function startGateway (storePort: number, address: string, peerPort: number, seeds: readonly string[]): Promise<Running> {
   const [port, readiness, metricsPort] = [await freePort(), await freePort(), await freePort()]
--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -1,12 +1,12 @@
 /** The soak's site: gateways as processes, stand-ins of store and workers, a proxy on each way between them. */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { configurationRecord, CONFIGURATION_KEY, entryKey, READINESS_PATH, settingsFile } from '../standin/PlatformRecords.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
+import { freePort } from '../tools/FreePort.js'
 import { ProcessSet } from '../tools/ProcessSet.js'
 import { FaultProxy } from './FaultProxy.js'
 import { KINDS, type ExtraRoute, type RunRecord } from './Types.js'
@@ -56,14 +56,6 @@
 
 const DATA_CENTRES = ['a', 'b', 'c']
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => server.close(() => resolve()))
-  return port
-}
-
 export class SoakSite {
   readonly store = new PlatformStore()
   readonly gateways: SoakGateway[] = []
