--- a/src/gateway/NewsTask.ts
+++ b/src/gateway/NewsTask.ts
@@ -4,12 +4,14 @@
  */
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { NewsDatagram } from '../common/generated/PeerDatagram.js'
+import type { Member } from '../common/membership/Membership.js'
 import { judgeConfig, judgeList, type ViewAge } from '../common/peers/News.js'
 import { readerOf } from '../common/peers/ReadDuty.js'
 import type { IClock, IRandom } from '../common/Services.js'
 import type { InstanceAddress } from '../common/Types.js'
 import type { Log } from '../router/telemetry/Log.js'
-import { LIST_TOPIC, type PeerTask } from './PeerTask.js'
+import type { IHolderPeers } from './HolderTask.js'
+import { LIST_TOPIC } from './PeerTask.js'
 
 const NEWS_INTERVAL_MS = 250
 const NEWS_FANOUT = 3
@@ -30,15 +32,24 @@
   fetch (part: 'config' | 'endpoints', from: InstanceAddress, ageMs: number): void
 }
 
+/** What the task uses of the talk between gateways. */
+export interface INewsPeers extends IHolderPeers {
+  /** Peers heard of, those too that leave or are dead. */
+  readonly members: readonly Member[]
+  usable (dataCentre?: string): readonly string[]
+  /** True when this instance reads `topic` for its data centre. */
+  reads (topic: string): boolean
+}
+
 export class NewsTask extends Disposable {
-  readonly #peers: PeerTask
+  readonly #peers: INewsPeers
   readonly #clock: IClock
   readonly #random: IRandom
   readonly #log: Log
   readonly #host: INewsHost
   #nextSpreadAt = 0
 
-  constructor (peers: PeerTask, clock: IClock, random: IRandom, log: Log, host: INewsHost) {
+  constructor (peers: INewsPeers, clock: IClock, random: IRandom, log: Log, host: INewsHost) {
     super()
     this.#peers = peers
     this.#clock = clock
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -8,7 +8,7 @@
 import type { InstanceAddress } from '../common/Types.js'
 import { DatagramCodec } from '../router/fleet/DatagramCodec.js'
 import type { Log } from '../router/telemetry/Log.js'
-import type { IHolderPeers } from './HolderTask.js'
+import type { INewsPeers } from './NewsTask.js'
 import { PeerSocket, type IControlCounter } from '../router/fleet/PeerSocket.js'
 
 const TICK_MS = 100
@@ -17,7 +17,7 @@
 export const CONFIG_TOPIC = 'config'
 export const LIST_TOPIC = 'endpoints'
 
-export class PeerTask extends Disposable implements IHolderPeers {
+export class PeerTask extends Disposable implements INewsPeers {
   readonly self: InstanceAddress
   readonly #clock: IClock
   readonly #socket: PeerSocket
--- a/src/soak/FaultProxy.test.ts
+++ b/src/soak/FaultProxy.test.ts
@@ -52,6 +52,25 @@
     expect(heard).toEqual(['hello', 'reset', 'silence', 'silence', 'silence', 'hello'])
   })
 
+  it('keeps the order of bytes when a delay ends', async () => {
+    proxy.delayMs = WAIT_MS
+    const socket = connect({ port, host: '127.0.0.1' })
+    const heard = new Promise<string>(resolve => {
+      let text = ''
+      socket.on('data', data => {
+        text += String(data)
+        if (text.length === 2) resolve(text)
+      })
+    })
+    socket.write('1')
+    setTimeout(() => {
+      proxy.delayMs = 0
+      socket.write('2')
+    }, WAIT_MS / 2)
+    expect(await heard).toBe('12')
+    socket.destroy()
+  })
+
   it('resets open connections', async () => {
     const socket = connect({ port, host: '127.0.0.1' })
     const closed = new Promise<string>(resolve => {
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -44,24 +44,27 @@
     this.#join(far, near, () => this.mood === 'mute' || this.mood === 'silent')
   }
 
-  /** Passes bytes, the end and a reset of `from` on to `to`; what is swallowed is lost for good. */
+  /** Passes bytes, the end and a reset of `from` on to `to`, in their order; what is swallowed is lost for good. */
   #join (from: Socket, to: Socket, swallows: () => boolean): void {
     this.#sockets.add(from)
     let swallowed = false
+    let dueAt = 0
+    const later = (act: () => void): void => {
+      const now = performance.now()
+      const earlierWaits = dueAt > now
+      dueAt = Math.max(dueAt, now + this.delayMs)
+      if (this.delayMs === 0 && !earlierWaits) act()
+      else setTimeout(act, dueAt - now)
+    }
     from.on('data', chunk => {
       swallowed ||= swallows()
-      if (!swallowed) this.#later(() => { if (!to.destroyed) to.write(chunk) })
+      if (!swallowed) later(() => { if (!to.destroyed) to.write(chunk) })
     })
-    from.on('end', () => { if (!swallowed) this.#later(() => to.end()) })
-    from.on('error', () => { if (!swallows()) this.#later(() => to.resetAndDestroy()) })
+    from.on('end', () => { if (!swallowed) later(() => to.end()) })
+    from.on('error', () => { if (!swallows()) later(() => to.resetAndDestroy()) })
     from.on('close', () => {
       this.#sockets.delete(from)
-      if (!swallows()) this.#later(() => to.destroy())
+      if (!swallows()) later(() => to.destroy())
     })
   }
-
-  #later (act: () => void): void {
-    if (this.delayMs === 0) act()
-    else setTimeout(act, this.delayMs)
-  }
 }
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -2,6 +2,7 @@
 /**
  * `npm run soak -- --seed N --seconds S [--gateways K]`: real gateways as processes on loopback under faults drawn by
  * a seed. Prints one JSON line; exit code 1 when a promise was broken, with the trace of the first break and the logs kept.
+ * `--seeds FILE` runs each seed that ever failed, as listed in soak/seeds.json.
  */
 import { readFileSync } from 'node:fs'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -90,11 +91,27 @@
   }
 }
 
+/** A seed that failed once, and why. */
+interface SeedCase {
+  readonly seed: number
+  readonly seconds: number
+  readonly cause: string
+}
+
+/** Runs the listed seeds one after the other; gives the number that failed. */
+async function runAll (flags: Flags, file: string): Promise<number> {
+  let failed = 0
+  for (const { seed, seconds } of JSON.parse(readFileSync(file, 'utf8')) as SeedCase[]) failed += await run({ ...flags, seed, seconds })
+  return failed
+}
+
 const program = new Command('soak')
   .option('--seed <n>', 'seed', Number, 1)
   .option('--seconds <n>', 'time under faults', Number, 30)
   .option('--gateways <n>', 'gateway processes', Number, 9)
   .option('--engines <n>', 'stand-ins of engines', Number, 6)
   .option('--orders <n>', 'stand-ins of the plain service', Number, 3)
+  .option('--seeds <file>', 'run the listed seeds')
 program.parse()
-process.exit(await run(program.opts<Flags>()))
+const flags = program.opts<Flags & { readonly seeds?: string }>()
+process.exit(flags.seeds === undefined ? await run(flags) : Math.min(1, await runAll(flags, flags.seeds)))
