Pass delayed bytes of the soak's proxy through one queue

Ruled out: the gateway (its line shows a whole stream, the caller's link was the one with the delay). Change: each direction has one queue and one timer.

--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -48,14 +48,8 @@
   #join (from: Socket, to: Socket, swallows: () => boolean): void {
     this.#sockets.add(from)
     let swallowed = false
-    let dueAt = 0
-    const later = (act: () => void): void => {
-      const now = performance.now()
-      const earlierWaits = dueAt > now
-      dueAt = Math.max(dueAt, now + this.delayMs)
-      if (this.delayMs === 0 && !earlierWaits) act()
-      else setTimeout(act, dueAt - now)
-    }
+    const line = new DelayLine(() => this.delayMs)
+    const later = (act: () => void): void => line.add(act)
     from.on('data', chunk => {
       swallowed ||= swallows()
       if (!swallowed) later(() => { if (!to.destroyed) to.write(chunk) })
@@ -68,3 +62,35 @@
     })
   }
 }
+
+interface Waiting {
+  readonly dueAt: number
+  readonly act: () => void
+}
+
+/** Acts after a delay that may change, and always in the order in which they were added. */
+class DelayLine {
+  readonly #delayMs: () => number
+  readonly #waiting: Waiting[] = []
+
+  constructor (delayMs: () => number) {
+    this.#delayMs = delayMs
+  }
+
+  add (act: () => void): void {
+    const delayMs = this.#delayMs()
+    if (delayMs === 0 && this.#waiting.length === 0) {
+      act()
+      return
+    }
+    this.#waiting.push({ dueAt: performance.now() + delayMs, act })
+    if (this.#waiting.length === 1) this.#wait()
+  }
+
+  #wait (): void {
+    setTimeout(() => {
+      this.#waiting.shift()!.act()
+      if (this.#waiting.length > 0) this.#wait()
+    }, Math.max(0, this.#waiting[0]!.dueAt - performance.now()))
+  }
+}
