Give each soak addresses of its own; date a refusal by its answer

Runs side by side used the same loopback addresses and ports, so that a caller met another run's status page ("Not Found" without an id). Ruled out: the gateways (no line of theirs for the 404s; versions only rise in g5's log). Change: gateways of a run have a subnet of their own; "never back" goes by when the answer came.

--- a/src/soak/Checks.ts
+++ b/src/soak/Checks.ts
@@ -107,7 +107,7 @@
     const before = phase.get(life) ?? 0
     const now = p.status === 200 ? 1 : p.status === 404 && before > 0 ? 2 : before
     if (before === 2 && now === 1) back.push({ rule: 'never back', at: p.at, id: p.route, detail: `${p.gateway} serves a removed route again` })
-    if (before === 1 && now === 2 && route.removedAt > p.at) back.push({ rule: 'never back', at: p.at, id: p.route, detail: `${p.gateway} forgot a route` })
+    if (before === 1 && now === 2 && route.removedAt > p.answeredAt) back.push({ rule: 'never back', at: p.at, id: p.route, detail: `${p.gateway} forgot a route` })
     phase.set(life, Math.max(before, now))
   }
   return back
--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -5,16 +5,21 @@
 /** What the proxy does to its connections; `deaf` passes nothing on towards the target, `mute` nothing back. */
 export type ProxyMood = 'passes' | 'resets' | 'deaf' | 'mute' | 'silent'
 
+/** Where connections through a proxy go; an address on loopback. */
+export interface ProxyTarget {
+  readonly host: string
+  readonly port: number
+}
+
 export class FaultProxy extends Disposable {
   mood: ProxyMood = 'passes'
   /** Added to each chunk, in each direction. */
   delayMs = 0
-  readonly #target: () => number
+  readonly #target: () => ProxyTarget
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
 
-  /** @param target port on loopback that connections go to. */
-  constructor (target: () => number) {
+  constructor (target: () => ProxyTarget) {
     super()
     this.#target = target
     this.#server = createServer(socket => this.#accept(socket))
@@ -39,7 +44,7 @@
       near.resetAndDestroy()
       return
     }
-    const far = connect({ port: this.#target(), host: '127.0.0.1' })
+    const far = connect(this.#target())
     this.#join(near, far, () => this.mood === 'deaf' || this.mood === 'silent')
     this.#join(far, near, () => this.mood === 'mute' || this.mood === 'silent')
   }
--- a/src/soak/RouteProbes.ts
+++ b/src/soak/RouteProbes.ts
@@ -37,7 +37,7 @@
       const at = performance.now()
       const id = `p${this.#seq++}`
       const { status } = await askPlatform(port, agent, { id, route, account: 'looms', deadlineMs: DEADLINE_MS, promptParts: [], leaveAfterMs: Infinity })
-      if ((this.#lives.get(gateway) ?? 0) === life) this.probes.push({ route, gateway, life, at, status })
+      if ((this.#lives.get(gateway) ?? 0) === life) this.probes.push({ route, gateway, life, at, answeredAt: performance.now(), status })
     }
   }
 }
--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -6,7 +6,7 @@
 import { configurationRecord, CONFIGURATION_KEY, entryKey, READINESS_PATH, settingsFile } from '../standin/PlatformRecords.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
+import { freePort, freePorts } from '../tools/FreePort.js'
 import { ProcessSet } from '../tools/ProcessSet.js'
 import { FaultProxy } from './FaultProxy.js'
 import { KINDS, type ExtraRoute, type RunRecord } from './Types.js'
@@ -54,6 +54,7 @@
   readonly orders: number
 }
 
+const SUBNET = 1 + process.pid % 250 // gateways of each run have addresses of their own, so that runs may go on side by side
 const DATA_CENTRES = ['a', 'b', 'c']
 
 export class SoakSite {
@@ -104,7 +105,7 @@
       }
     })
     await worker.listen()
-    const proxy = new FaultProxy(() => worker.port)
+    const proxy = new FaultProxy(() => ({ host: '127.0.0.1', port: worker.port }))
     const made = { name, service, worker, proxy, proxyPort: await proxy.listen(), leavingAt: Infinity, ended: false }
     this.workers.push(made)
     this.list(made, 'ready')
@@ -155,7 +156,7 @@
 
   async isReady (g: SoakGateway): Promise<boolean> {
     try {
-      return (await fetch(`http://127.0.0.1:${g.readinessPort}${READINESS_PATH}`, { signal: AbortSignal.timeout(500) })).status === 200
+      return (await fetch(`http://${g.address}:${g.readinessPort}${READINESS_PATH}`, { signal: AbortSignal.timeout(500) })).status === 200
     } catch {
       return false // not listening, stopped or silent: not ready in each case
     }
@@ -175,18 +176,19 @@
   }
 
   async #makeGateway (index: number, storePort: number): Promise<void> {
-    const frontPort = await freePort()
-    const callers = new FaultProxy(() => frontPort)
-    const store = new FaultProxy(() => storePort)
+    const address = `127.${SUBNET}.${1 + Math.floor(index / 200)}.${1 + index % 200}`
+    const [frontPort, readinessPort] = await freePorts(2)
+    const callers = new FaultProxy(() => ({ host: address, port: frontPort! }))
+    const store = new FaultProxy(() => ({ host: '127.0.0.1', port: storePort }))
     this.gateways.push({
       name: `g${index}`,
-      address: `127.0.${1 + Math.floor(index / 200)}.${1 + index % 200}`,
+      address,
       callers,
       callersPort: await callers.listen(),
       store,
       storePort: await store.listen(),
-      frontPort,
-      readinessPort: await freePort()
+      frontPort: frontPort!,
+      readinessPort: readinessPort!
     })
   }
 }
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -49,7 +49,9 @@
   readonly gateway: string
   /** Starts of the gateway's process so far. */
   readonly life: number
+  /** When it was asked. */
   readonly at: number
+  readonly answeredAt: number
   /** 0 when there was no answer. */
   readonly status: number
 }
