--- a/src/common/routing/Outcomes.ts
+++ b/src/common/routing/Outcomes.ts
@@ -1,7 +1,8 @@
 /**
  * Recent outcomes at one endpoint, this instance's own and those that peers told of. Load pattern: many instances that
- * each send few requests to an endpoint that fails; none of them alone sees enough to tell. Each tells only what it saw
- * itself, and the newest word of each peer counts once, so that chance at one of many instances isn't taken for a fault.
+ * each send few requests to an endpoint that fails; none of them alone sees enough to tell. Each instance reports only
+ * what it saw itself, and only the latest report of each peer counts, so that a few failures in a row at one of many
+ * instances don't eject an endpoint from all.
  */
 
 const HALF_LIFE_MS = 1_500
@@ -40,7 +41,7 @@
     this.#sumUntil = -Infinity
   }
 
-  /** Takes in what a peer saw itself, in place of its last word. */
+  /** Takes in a peer's report of what it saw itself; it replaces the peer's previous one. */
   told (peer: string, counts: OutcomeCounts, now: number): void {
     this.#told.delete(peer) // moves it to the end of the map's order, which is that of age
     this.#told.set(peer, { failed: counts.failed, ended: counts.ended, at: now })
--- a/src/gateway/NewsTask.ts
+++ b/src/gateway/NewsTask.ts
@@ -34,7 +34,7 @@
 
 /** What the task uses of the talk between gateways. */
 export interface INewsPeers extends IHolderPeers {
-  /** Peers heard of, those too that leave or are dead. */
+  /** Peers heard of, including those that are leaving or dead. */
   readonly members: readonly Member[]
   usable (dataCentre?: string): readonly string[]
   /** True when this instance reads `topic` for its data centre. */
@@ -99,7 +99,7 @@
     return { kind: 'news', id: this.#peers.self.id, configRevision, listRevision, listDigest, ...ages, loads: this.#host.freshLoads() }
   }
 
-  /** Tells some peers, those too that leave: they serve on for a while. */
+  /** Tells some peers, including those that are leaving: they serve on for a while. */
   #sendNews (fanout: number): void {
     const peers = this.#peers.members.filter(m => m.state !== 'dead').map(m => m.id)
     const news = this.#news()
--- a/src/gateway/PeerTask.ts
+++ b/src/gateway/PeerTask.ts
@@ -51,7 +51,7 @@
     return this.#socket.onDatagram
   }
 
-  /** Peers heard of, those too that leave or are dead. */
+  /** Peers heard of, including those that are leaving or dead. */
   get members (): readonly Member[] {
     return this.#membership.members
   }
--- a/src/gateway/RequestRun.ts
+++ b/src/gateway/RequestRun.ts
@@ -169,7 +169,7 @@
     return { address, port, method: request.method, target: request.target, headers: framed, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
   }
 
-  /** An engine that is well and holds some of the prompt which `state` hasn't read. */
+  /** A healthy engine to copy from: the session's holder copies from its source, any other engine from the holder. */
   #promptSource (state: PooledEndpoint): Endpoint | undefined {
     if (this.#holder === undefined) return undefined
     const { endpoint, source } = this.#holder
