Keep the name of the settings' variable with the stand-ins

Cause: the soak named a variable of the platform. Moved to the stand-ins' records; nothing else changed.

--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { configurationRecord, CONFIGURATION_KEY, entryKey, READINESS_PATH, settingsFile } from '../standin/PlatformRecords.js'
+import { configurationRecord, CONFIGURATION_KEY, entryKey, READINESS_PATH, settingsFile, SETTINGS_VARIABLE } from '../standin/PlatformRecords.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort, freePorts } from '../tools/FreePort.js'
@@ -144,7 +144,7 @@
     const settings = join(this.logDir, `${g.name}.json`)
     this.writeSettings(g, RETRY_BURST)
     const main = fileURLToPath(new URL('../platform/main.js', import.meta.url))
-    this.processes.start(g.name, main, [], { flags: GATEWAY_FLAGS, env: { RADISHLOFT_CONFIG: settings } })
+    this.processes.start(g.name, main, [], { flags: GATEWAY_FLAGS, env: { [SETTINGS_VARIABLE]: settings } })
   }
 
   writeSettings (g: SoakGateway, retryBurst: number): void {
--- a/src/standin/PlatformRecords.ts
+++ b/src/standin/PlatformRecords.ts
@@ -2,6 +2,8 @@
 
 export const CONFIGURATION_KEY = 'op/config'
 export const READINESS_PATH = '/v1/readyz'
+/** Environment variable with the path of the settings file. */
+export const SETTINGS_VARIABLE = 'RADISHLOFT_CONFIG'
 export const HOST = 'standin.example'
 /** Keys of the client accounts in each configuration. */
 export const API_KEYS: Readonly<Record<string, string>> = { looms: 'key-looms', beads: 'key-beads' }
