Log the shared parts of a prompt whose endpoint closed the connection

Now the line of such a request has all shared parts, and each attempt the time since its answer began. No decision changes. Test: RequestPath, stream that is torn; the field was absent before.

--- a/src/common/routing/PromptPlacement.ts
+++ b/src/common/routing/PromptPlacement.ts
@@ -7,7 +7,7 @@
 import { hashString } from '../Hash.js'
 import type { Candidates } from './Candidates.js'
 import type { EndpointState } from './EndpointState.js'
-import type { Prompt } from './Types.js'
+import type { Prompt, PromptPart } from './Types.js'
 
 const LOAD_BOUND = 1.5 // multiple of the mean load up to which a session stays on its own engine
 const LOAD_SLACK = 3 // requests allowed above the bound; small loads vary by this much at random
@@ -35,10 +35,14 @@
   readonly sessionTokens: number
 }
 
+/** The parts that other requests may share: all but the last, which is the request's own. */
+export function sharedParts (prompt: Prompt): readonly PromptPart[] {
+  return prompt.parts.slice(0, -1)
+}
+
 /** Derives the key from the parts of a prompt; the last of several parts is the request's own. */
 export function promptKey (prompt: Prompt): PromptKey {
-  const { parts } = prompt
-  const shared = parts.slice(0, Math.max(1, parts.length - 1))
+  const shared = prompt.parts.length > 1 ? sharedParts(prompt) : prompt.parts
   const sessionTokens = shared.slice(1).reduce((sum, part) => sum + part.tokens, 0)
   return {
     session: hashString(shared[shared.length - 1]?.id ?? ''),
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -18,8 +18,8 @@
   | { readonly kind: 'not-run', readonly by: 'connect' | 'endpoint' | 'other-endpoint', readonly detail: string }
   /** The request may have run; nothing was sent to the caller. */
   | { readonly kind: 'lost', readonly why: 'reset' | 'silent' | 'untrusted', readonly detail: string }
-  /** The request ran, and part of the response was sent to the caller. */
-  | { readonly kind: 'broken', readonly detail: string }
+  /** The request ran, and part of the response was sent to the caller; `closed` when the endpoint's side closed the connection. */
+  | { readonly kind: 'broken', readonly why: 'closed' | 'silent' | 'oversized', readonly detail: string }
   /** Cancelled by this instance: the caller disconnected or the deadline passed. */
   | { readonly kind: 'stopped', readonly sent: boolean }
 
@@ -47,6 +47,7 @@
   #bufferedBytes = 0
   #head: ResponseHead | undefined
   #streaming = false
+  #answerBeganAt: number | undefined
   readonly #idleTimeout: InputTimeout | undefined
   readonly #lateTimer: NodeJS.Timeout
   #resolve!: (result: AttemptResult) => void
@@ -62,6 +63,11 @@
     if (idleTimeoutMs !== Infinity) this.#idleTimeout = new InputTimeout(idleTimeoutMs, () => this.#onIdleTimeout())
   }
 
+  /** When the head of the answer arrived, on the monotonic clock; undefined before. */
+  get answerBeganAt (): number | undefined {
+    return this.#answerBeganAt
+  }
+
   /** Cancels the attempt. */
   stop (): void {
     this.#settle({ kind: 'stopped', sent: this.#exchange.sent })
@@ -70,6 +76,7 @@
   onHead (status: number, headers: HeaderList): void {
     clearTimeout(this.#lateTimer)
     this.#idleTimeout?.restart()
+    this.#answerBeganAt = performance.now()
     const head = this.#options.decodeHead(status, headers)
     this.#head = head
     if (!head.trusted) {
@@ -100,7 +107,7 @@
       return
     }
     if (this.#options.eventStream?.hasPartialEvent === true) {
-      this.#settle({ kind: 'broken', detail: 'stream ended within an event' })
+      this.#settle({ kind: 'broken', why: 'closed', detail: 'stream ended within an event' })
       return
     }
     this.#response.end()
@@ -109,7 +116,7 @@
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
     if (!sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
-    else if (this.#streaming) this.#settle({ kind: 'broken', detail })
+    else if (this.#streaming) this.#settle({ kind: 'broken', why: 'closed', detail })
     else this.#settle({ kind: 'lost', why: 'reset', detail: `${failure}: ${detail}` })
   }
 
@@ -126,13 +133,13 @@
     const bytes = eventStream === undefined ? chunk : eventStream.push(chunk)
     if (eventStream === undefined || eventStream.hasNewEvent) this.#idleTimeout?.restart()
     if (bytes.length > 0 && !this.#response.write(bytes)) this.#exchange.pause()
-    if (eventStream?.isOversized === true) this.#settle({ kind: 'broken', detail: 'event without an end' })
+    if (eventStream?.isOversized === true) this.#settle({ kind: 'broken', why: 'oversized', detail: 'event without an end' })
   }
 
   #onIdleTimeout (): void {
     const detail = `silent for ${this.#options.idleTimeoutMs} ms`
     if (!this.#exchange.sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
-    else if (this.#streaming) this.#settle({ kind: 'broken', detail })
+    else if (this.#streaming) this.#settle({ kind: 'broken', why: 'silent', detail })
     else this.#settle({ kind: 'lost', why: 'silent', detail })
   }
 
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -4,7 +4,7 @@
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
-import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { placePrompt, promptKey, sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import { streamIdleMs } from '../common/routing/StreamIdle.js'
 import type { Account, Endpoint, Prompt, Route } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
@@ -32,6 +32,8 @@
 const MIN_FAILURE_STATUS = 500
 const EXCESS_FAILURE_RATE = 0.2 // failure rate above the other endpoints' mean from which a failed request is retried at another one
 
+const MAX_LOGGED_PARTS = 8
+
 /** Services shared by all requests. */
 export interface ForwarderServices {
   readonly clock: IClock
@@ -72,6 +74,8 @@
   #mayHaveRun = false
   #executedAttempts = 0
   #connectFailures = 0
+  /** True once an endpoint closed its connection before the end of an answer. */
+  #closedEarly = false
   #fallbackResponse: Extract<AttemptResult, { kind: 'answered' }> | undefined
 
   constructor (services: ForwarderServices, context: RequestContext, response: CallerResponse) {
@@ -158,7 +162,8 @@
     this.#currentAttempt = attempt
     const result = await attempt.result
     state.inFlight--
-    this.#recordAttempt(choice, result, clock.nowMs() - startedAt)
+    const now = clock.nowMs()
+    this.#recordAttempt(choice, result, now - startedAt, attempt.answerBeganAt === undefined ? undefined : now - attempt.answerBeganAt)
     return result
   }
 
@@ -194,11 +199,14 @@
     return head
   }
 
-  #recordAttempt (choice: EndpointChoice, result: AttemptResult, ms: number): void {
+  /** @param answerMs time since the answer began; undefined when it didn't. */
+  #recordAttempt (choice: EndpointChoice, result: AttemptResult, ms: number, answerMs: number | undefined): void {
     const endpoint = choice.state.endpoint.id
     const load = Math.round(choice.load * 10) / 10
     const detail = 'detail' in result ? { detail: result.detail } : {}
-    this.#attemptLines.push({ endpoint, reason: choice.reason, load, result: result.kind, ...detail, ms: Math.round(ms) })
+    const answer = answerMs === undefined ? {} : { answerMs: Math.round(answerMs) }
+    this.#attemptLines.push({ endpoint, reason: choice.reason, load, result: result.kind, ...detail, ...answer, ms: Math.round(ms) })
+    this.#closedEarly ||= wasClosedEarly(result)
     this.#services.metrics.attempts.inc({ service: this.#context.service, result: result.kind })
   }
 
@@ -311,6 +319,7 @@
       configRevision,
       listAgeMs: Math.round(pool.listAgeMs),
       ...this.#sessionLine === undefined ? {} : { session: this.#sessionLine },
+      ...this.#closedEarly && request.prompt !== undefined ? { parts: sharedParts(request.prompt).slice(0, MAX_LOGGED_PARTS).map(part => part.id) } : {},
       attempts: this.#attemptLines,
       status,
       code: error?.code ?? '',
@@ -318,3 +327,8 @@
     })
   }
 }
+
+/** True when the endpoint's side closed the connection before the end of the answer. */
+function wasClosedEarly (result: AttemptResult): boolean {
+  return (result.kind === 'broken' && result.why === 'closed') || (result.kind === 'lost' && result.why === 'reset')
+}
--- a/src/gateway/RequestLog.ts
+++ b/src/gateway/RequestLog.ts
@@ -14,6 +14,8 @@
   readonly load: number
   readonly result: string
   readonly detail?: string
+  /** Time from the first byte of the answer to its end; absent when none arrived. */
+  readonly answerMs?: number
   readonly ms: number
 }
 
@@ -38,6 +40,8 @@
   readonly listAgeMs: number
   /** Absent for requests without a prompt. */
   readonly session?: SessionLine
+  /** Ids of the prompt's parts that other requests share; only when an endpoint closed the connection before the end of its answer. */
+  readonly parts?: readonly string[]
   readonly attempts: readonly AttemptLine[]
   readonly status: number
   /** Error code of the gateway; empty when an endpoint's response was forwarded. */
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -39,10 +39,13 @@
   while (!holds()) await sleep(10)
 }
 
+/** Lines that the gateways logged in the current test. */
+const logLines: Array<Readonly<Record<string, unknown>>> = []
+
 /** Starts a gateway. @param address loopback address, a different one for each gateway, as all of them use the same peer port. */
 async function startGateway (storePort: number, address: string, peerPort: number, seeds: readonly string[]): Promise<RunningGateway> {
   const [port, readiness, metricsPort] = [await freePort(), await freePort(), await freePort()]
-  const log = pino({ level: 'silent' })
+  const log = pino({ base: null }, { write: text => { logLines.push(JSON.parse(text) as Record<string, unknown>) } })
   const metrics = new GatewayMetrics()
   const settings = {
     id: `gateway-${address}`,
@@ -140,7 +143,10 @@
   await waitUntil(() => first.gateway.ready)
 })
 
-afterEach(() => { stops.splice(0).forEach(stop => stop()) })
+afterEach(() => {
+  logLines.length = 0
+  stops.splice(0).forEach(stop => stop())
+})
 
 describe('forwarding of requests', () => {
   it('forwards the caller\'s request with the gateway\'s headers, and the worker\'s response unchanged', async () => {
@@ -232,6 +238,14 @@
     expect([answer.complete, workers.reduce((sum, w) => sum + w.executedIds.length, 0)]).toEqual([false, 1])
   })
 
+  it('log the shared parts of the prompt and the age of the answer when the worker closes the connection', async () => {
+    await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
+    await call(first.port, '/stream/1', PROMPT)
+    await waitUntil(() => logLines.some(line => line.parts !== undefined))
+    const line = logLines.find(l => l.parts !== undefined)!
+    expect([line.parts, line.attempts]).toEqual([['aa', 'bb'], [expect.objectContaining({ result: 'broken', answerMs: expect.any(Number) })]])
+  })
+
   it('are cancelled at the worker when the caller disconnects', async () => {
     workers.forEach(w => { w.mode = 'mute' })
     const headers = { host: 'a.example', 'attempt-id': 'r', 'deadline-ms': '3000', authorization: 'Bearer k1', ...PROMPT }
