Abort any stream that ends within an event, not only a resumable one

Callers saw: an answer without length or chunks that ended within an event arrived as whole, and counted as a success of its endpoint. Cause: only resumable streams were split into events; on all other routes the normal end of the connection was the end of the answer. The same class elsewhere: event ends were recognised for LF only; with CR LF every such stream would now be cut, so the framer knows both. Ids are tracked for resumable streams only, so the others cost one scan for line ends.

--- a/src/common/sse/Sse.test.ts
+++ b/src/common/sse/Sse.test.ts
@@ -31,6 +31,15 @@
     }), RUNS)
   })
 
+  it('recognises events whose lines end with CR LF, however the input is split', () => {
+    const bytes = encoder.encode('id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n')
+    for (let at = 0; at <= bytes.length; at++) {
+      const framer = new SseFramer()
+      const events = framer.push(bytes.subarray(0, at)).events + framer.push(bytes.subarray(at)).events
+      expect([at, events, framer.pendingBytes]).toEqual([at, 2, 0])
+    }
+  })
+
   it('detects the end marker when it is split over several chunks', () => {
     const framer = new SseFramer()
     expect(framer.push(encoder.encode('id: 9\ndata: [DO')).done).toBe(false)
--- a/src/common/sse/SseFramer.ts
+++ b/src/common/sse/SseFramer.ts
@@ -1,6 +1,7 @@
 /** Splits a byte stream into complete server-sent events without parsing them. */
 
 const LF = 10
+const CR = 13
 const MAX_EVENT_BYTES = 262_144 // no event is as long; bytes without an end must not fill the memory
 const DONE = new TextEncoder().encode('data: [DONE]\n\n')
 
@@ -43,9 +44,10 @@
     let events = 0
     let end = 0
     for (let at = input.indexOf(LF); at >= 0; at = input.indexOf(LF, at + 1)) {
-      if (input[at + 1] !== LF) continue
+      const blankLineEnd = input[at + 1] === CR ? at + 2 : at + 1
+      if (input[blankLineEnd] !== LF) continue
       events++
-      at++
+      at = blankLineEnd
       end = at + 1
     }
     this.#tail = end === input.length ? undefined : input.subarray(end)
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -27,9 +27,9 @@
 export interface AttemptOptions {
   /** True to forward a successful response as it arrives. */
   readonly streaming: boolean
-  /** Present when the stream can be resumed at another endpoint: only complete events are forwarded. */
+  /** Present for a streaming route: only complete events are forwarded. */
   readonly eventStream: EventStream | undefined
-  /** Time without data, or without an event of a resumable stream, after which the attempt ends; Infinity when the request can't be retried. */
+  /** Time without data, or without an event of a stream, after which the attempt ends; Infinity when the request can't be retried. */
   readonly idleTimeoutMs: number
   /** Wait for the response head after which the endpoint counts as late; the attempt continues. */
   readonly lateThresholdMs: number
--- a/src/gateway/EventStream.test.ts
+++ b/src/gateway/EventStream.test.ts
@@ -3,7 +3,7 @@
 
 /** What a stream shows after each chunk: a new event, its last id, whether another run can go on. */
 function observe (...chunks: readonly string[]): unknown[] {
-  const stream = new EventStream()
+  const stream = new EventStream(true)
   return chunks.map(chunk => {
     stream.push(Buffer.from(chunk))
     return [stream.hasNewEvent, stream.lastId, stream.canResume]
@@ -22,7 +22,7 @@
   })
 
   it('detects an event that does not end', () => {
-    const stream = new EventStream()
+    const stream = new EventStream(true)
     const oversized = [100_000, 100_000, 100_000].map(bytes => {
       stream.push(Buffer.alloc(bytes, 'x'))
       return stream.isOversized
--- a/src/gateway/EventStream.ts
+++ b/src/gateway/EventStream.ts
@@ -1,15 +1,21 @@
-/** Splits a resumable stream into complete events and tracks the id of the last one. */
+/** Splits a stream into complete events, so that one which ends within an event is recognised, and tracks the id of the last one. */
 import { SseFramer } from '../common/sse/SseFramer.js'
 
 const ID_LINE = /^id: ?(.*)$/gm
 
 export class EventStream {
   readonly #framer = new SseFramer()
+  readonly #resumable: boolean
   #lastId: string | undefined
   #passedOn = false
   #hasNewEvent = false
 
-  /** Id of the last complete event; undefined before the first. */
+  /** @param resumable true when the route allows another endpoint to go on after the last event; ids are tracked only then. */
+  constructor (resumable: boolean) {
+    this.#resumable = resumable
+  }
+
+  /** Id of the last complete event of a resumable stream; undefined before the first. */
   get lastId (): string | undefined {
     return this.#lastId
   }
@@ -21,7 +27,7 @@
 
   /** True when a run at another endpoint can go on where this one ended: no event was passed on, or the last one had an id. */
   get canResume (): boolean {
-    return this.#lastId !== undefined || !this.#passedOn
+    return this.#resumable && (this.#lastId !== undefined || !this.#passedOn)
   }
 
   /** True when the endpoint sends an event that doesn't end. */
@@ -41,11 +47,15 @@
     this.#hasNewEvent = false
     if (bytes.length === 0) return bytes
     this.#passedOn = true
-    for (const match of Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').matchAll(ID_LINE)) this.#lastId = match[1]!.trim()
+    if (this.#resumable) this.#trackIds(bytes)
     this.#hasNewEvent = this.#lastId === undefined || this.#lastId !== before
     return bytes
   }
 
+  #trackIds (bytes: Uint8Array): void {
+    for (const match of Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').matchAll(ID_LINE)) this.#lastId = match[1]!.trim()
+  }
+
   /** Discards an incomplete event: the endpoint that resumes the stream sends it again from its start. */
   discardPartialEvent (): void {
     this.#framer.reset()
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -85,7 +85,7 @@
     const { route, request, startedAt } = context
     this.#deadlineAt = startedAt + Math.min(request.timeoutMs ?? Infinity, route.timeoutMs)
     this.#retryable = route.idempotent || (route.streaming && route.resumable)
-    this.#eventStream = route.streaming && route.resumable ? new EventStream() : undefined
+    this.#eventStream = route.streaming ? new EventStream(route.resumable) : undefined
   }
 
   /** Runs until the response was sent or the request failed; never rejects. */
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -238,6 +238,14 @@
     expect([answer.complete, workers.reduce((sum, w) => sum + w.executedIds.length, 0)]).toEqual([false, 1])
   })
 
+  // An answer that was broken off looked whole to its caller, and counted as a success of the endpoint.
+  it('are aborted when an answer without length or chunks ends within an event, whether or not the route allows to resume', async () => {
+    const worker = await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed')
+    const answer = await call(first.port, '/stream/1', PROMPT)
+    await waitUntil(() => logLines.some(line => line.code === 'response_lost'))
+    expect([answer.status, answer.complete, answer.body, worker.executedIds.length]).toEqual([200, false, 'id: 1\ndata: token1\n\n', 1])
+  })
+
   it('log the shared parts of the prompt and the age of the answer when the worker closes the connection', async () => {
     await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
     await call(first.port, '/stream/1', PROMPT)
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -19,6 +19,8 @@
   | 'losing'
   /** Executes and resets the connection in the middle of the second event of a stream; other calls are answered. */
   | 'tearing'
+  /** Executes and answers a stream without length or chunks, whose connection ends normally in the middle of the second event; other calls are answered. */
+  | 'unframed'
   /** Executes and never answers. */
   | 'mute'
   /** Executes, sends the first event of a stream and then one byte now and then; other calls are answered. */
@@ -126,6 +128,7 @@
 
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
+    if (this.mode === 'unframed') res.useChunkedEncodingByDefault = false
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     res.flushHeaders()
     this.#writeEvent(req, res, Number(req.headers['last-event-id'] ?? 0) + 1)
@@ -145,6 +148,8 @@
       setTimeout(() => (req.socket as Socket).resetAndDestroy(), DRIP_INTERVAL_MS)
     } else if ((this.mode === 'dripping' || this.mode === 'endless') && event === 2) {
       this.#writeForever(res, this.mode === 'dripping' ? 'x' : 'x'.repeat(ENDLESS_CHUNK_BYTES))
+    } else if (this.mode === 'unframed' && event === 2) {
+      res.end('id: 2\ndata: to')
     } else if (this.mode === 'tearing' && event === 2) {
       res.write('id: 2\ndata: to', () => (req.socket as Socket).resetAndDestroy())
     } else {
