Decode and log the limit that an endpoint names in its answers

The header is decoded once, kept with the time of its answer and logged when it changes; it is dropped from requests of callers. No decision uses it yet.

--- a/src/common/routing/EndpointState.ts
+++ b/src/common/routing/EndpointState.ts
@@ -20,12 +20,21 @@
   replaceReport (state: EndpointState, requests: number, expiresAt: number): void
 }
 
+/** Limit that an endpoint named for requests from all instances together. */
+export interface RequestLimit {
+  /** Undefined when the endpoint named none. */
+  readonly requestsPerSec: number | undefined
+  /** Time of the answer; -Infinity before the first. */
+  readonly at: number
+}
+
 /** In-flight requests, reported load and health of one endpoint. */
 export class EndpointState implements RendezvousCandidate {
   readonly endpoint: Endpoint
   readonly hash: number
   readonly weight = 1
   readonly health = new EndpointHealth()
+  #limit: RequestLimit = { requestsPerSec: undefined, at: -Infinity }
   #totals: ILoadTotals | undefined
   #inFlight = 0
   #reportedRequests = 0
@@ -85,6 +94,18 @@
     return true
   }
 
+  /** Limit in the endpoint's last answer that is known. */
+  get limit (): RequestLimit {
+    return this.#limit
+  }
+
+  /** Records the limit that the endpoint named in an answer at `at`, undefined for none; returns false when a later answer is known. */
+  recordLimit (requestsPerSec: number | undefined, at: number): boolean {
+    if (at <= this.#limit.at) return false
+    this.#limit = { requestsPerSec, at }
+    return true
+  }
+
   /** Estimated requests at the endpoint from all instances. The weight of a report decreases with its age. */
   load (now: number): number {
     const weight = Math.min(1, Math.max(0, (REPORT_EXPIRY_MS - (now - this.#reportedAt)) / (REPORT_EXPIRY_MS - REPORT_FRESH_MS)))
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -107,6 +107,13 @@
     if (state.recordReport(requests, this.#clock.nowMs() - ageMs)) this.#reports.recordChange(state)
   }
 
+  /** Records the limit that an endpoint named in an answer, undefined for none. @param requestId request that was answered. */
+  recordLimit (state: PooledEndpoint, requestsPerSec: number | undefined, requestId: string): void {
+    const before = state.limit.requestsPerSec
+    state.recordLimit(requestsPerSec, this.#clock.nowMs())
+    if (before !== requestsPerSec) this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, requestsPerSec: requestsPerSec ?? null, before }, 'endpoint named another limit')
+  }
+
   /** Failure rate of the other endpoints of the same service. */
   othersFailureRate (state: PooledEndpoint): number {
     return this.#group(state.endpoint.service).othersFailureRate(state, this.#clock.nowMs())
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -233,6 +233,7 @@
   #decodeHead (state: PooledEndpoint, status: number, headers: HeaderList): ResponseHead {
     const head = this.#services.codec.decodeResponse(this.#context.request, status, headers)
     if (head.trusted && head.load !== undefined) this.#services.pool.recordLoad(state, head.load.running + head.load.waiting)
+    if (head.trusted) this.#services.pool.recordLimit(state, head.requestsPerSec, this.#context.request.id)
     return head
   }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -55,6 +55,8 @@
   /** True when another endpoint answered at the address: the one that was meant is gone. */
   readonly misdirected: boolean
   readonly load: ReportedLoad | undefined
+  /** Requests a second that the endpoint takes from all instances together; undefined when it names no limit. */
+  readonly requestsPerSec: number | undefined
   /** Headers to forward to the caller. */
   readonly passHeaders: HeaderList
 }
--- a/src/platform/HeaderNames.ts
+++ b/src/platform/HeaderNames.ts
@@ -12,6 +12,7 @@
   signature: 'Server-Signature',
   notRun: 'Not-Executed',
   load: 'Server-Load',
+  requestLimit: 'Server-Limit', // requests a second that the endpoint takes from all instances together
   lastEventId: 'Last-Event-Id',
   promptSource: 'Kv-Fetch', // address of the engine to copy cached prompt parts from
   retryAfter: 'Retry-After',
@@ -21,7 +22,7 @@
 /** Headers that callers may not set: they are dropped from requests. */
 export const RESERVED_HEADERS: ReadonlySet<string> = new Set([
   HEADER.authorization, HEADER.account, HEADER.endpointId, HEADER.priority, HEADER.deadline,
-  'Expect-Version', HEADER.promptSource, 'Kv-From', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load'
+  'Expect-Version', HEADER.promptSource, 'Kv-From', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load', HEADER.requestLimit
 ].map(name => name.toLowerCase()))
 
 /** Headers that apply to a single connection and aren't forwarded. */
--- a/src/platform/RequestCodec.ts
+++ b/src/platform/RequestCodec.ts
@@ -53,6 +53,11 @@
   return [running, waiting, slots].every(n => Number.isFinite(n) && n >= 0) ? { running, waiting, slots } : undefined
 }
 
+function parseRate (text: string | undefined): number | undefined {
+  const rate = Number(text ?? NaN)
+  return Number.isFinite(rate) && rate >= 0 ? rate : undefined
+}
+
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
 export class RequestCodec implements IRequestCodec {
@@ -99,6 +104,7 @@
       notRun: misdirected || (matchesRequest && getHeader(headers, HEADER.notRun) !== undefined),
       misdirected,
       load: parseLoad(getHeader(headers, HEADER.load)),
+      requestsPerSec: parseRate(getHeader(headers, HEADER.requestLimit)),
       passHeaders: omitHeaders(headers, NO_HEADERS)
     }
   }
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -53,6 +53,10 @@
 /** HTTP server of one simulated worker. */
 export class PlatformWorker {
   mode: WorkerMode = 'well'
+  /** Limit that the worker names in its answers, in requests a second; undefined for none. */
+  requestsPerSec: number | undefined
+  /** Times at which requests for this worker arrived, on the monotonic clock. */
+  readonly arrivals: number[] = []
   /** Ids of the executed requests, in order. */
   readonly executedIds: string[] = []
   /** Headers of the most recent request. */
@@ -107,6 +111,7 @@
       res.writeHead(421, { 'instance-id': this.#id }).end()
       return
     }
+    this.arrivals.push(performance.now())
     if (this.mode === 'full') {
       res.writeHead(503, { 'attempt-id': id, 'not-executed': '1' }).end()
       return
@@ -128,6 +133,7 @@
       return
     }
     const headers = { 'attempt-id': this.mode === 'confused' ? 'another' : id, 'server-signature': `${this.#id}.${id}`, 'server-load': `${this.#running},0,8` }
+    if (this.requestsPerSec !== undefined) res.setHeader('server-limit', String(this.requestsPerSec))
     if (this.mode === 'failing') res.writeHead(500, headers).end('failed')
     else if (req.url?.startsWith('/stream') === true) this.#startStream(req, res, headers)
     else res.writeHead(200, headers).end(`answer to ${id}: ${body.toString()}`)
