Choose the endpoints of a request in a class of its own

EndpointSelector holds what choices of one request share: endpoints tried, the session's engine, admissions of limited endpoints. The prompt is now checked before the choice instead of after it, so that a refused admission doesn't ask for a second trial; a part that is blocked meanwhile stops the request. The test of the logged limit failed by chance (traced: all its later calls went to the other worker), and now sends calls until the limit's end was logged.

--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -2,29 +2,22 @@
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import type { SharedRetryBudget } from '../common/limits/SharedRetryBudget.js'
 import { hashString } from '../common/Hash.js'
-import { placeCall } from '../common/routing/CallPlacement.js'
-import type { Candidates } from '../common/routing/Candidates.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
-import { placePrompt, promptKey, sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import { streamIdleMs } from '../common/routing/StreamIdle.js'
-import type { Account, Endpoint, Prompt, Route } from '../common/routing/Types.js'
-import type { IClock } from '../common/Services.js'
+import type { Account, Route } from '../common/routing/Types.js'
 import { Attempt, type AttemptResult } from './Attempt.js'
 import type { CallerResponse } from './CallerResponse.js'
 import type { ExchangeRequest } from './EndpointExchange.js'
-import type { EndpointLimiter } from './EndpointLimiter.js'
-import type { EndpointPool, PooledEndpoint } from './EndpointPool.js'
+import type { PooledEndpoint } from './EndpointPool.js'
+import { EndpointSelector, type SelectorServices } from './EndpointSelector.js'
 import { EventStream } from './EventStream.js'
-import type { GatewayMetrics } from './GatewayMetrics.js'
-import type { SessionAffinity } from './OwnerQueries.js'
 import type { PromptGuard } from './PromptGuard.js'
-import type { AttemptLine, RequestLog, SessionLine } from './RequestLog.js'
-import type { SessionAffinityTask } from './SessionAffinityTask.js'
+import type { AttemptLine, RequestLog } from './RequestLog.js'
 import type { HeaderList, IRequestCodec, ResponseHead, RoutedRequest } from './Types.js'
 
 const CONNECT_TIMEOUT_MS = 150 // far above a round trip between data centres; a retry at another endpoint loses nothing, as nothing was sent
 const MAX_CONNECT_FAILURES = 4
-const FAILURES_BEFORE_NEAR = 2 // failed connections after which the own data centre is preferred
 const MAX_REUSE_IDLE_MS = 500 // a connection idle for longer may be dead; requests that can't be retried don't use it
 const CALL_IDLE_TIMEOUT_GOALS = 3 // multiples of the latency goal without data after which a retryable call is retried at another endpoint
 const LATE_THRESHOLD_GOALS = 1.25 // multiples of the latency goal without a response head after which an endpoint counts as late
@@ -40,16 +33,10 @@
 const MAX_LOGGED_PARTS = 8
 
 /** Services shared by all requests. */
-export interface ForwarderServices {
-  readonly clock: IClock
+export interface ForwarderServices extends SelectorServices {
   readonly codec: IRequestCodec
-  readonly pool: EndpointPool
-  readonly sessionAffinity: SessionAffinityTask
   readonly promptGuard: PromptGuard
-  readonly limiter: EndpointLimiter
-  readonly metrics: GatewayMetrics
   readonly log: RequestLog
-  readonly dataCentre: string
   retryBudget (service: string): SharedRetryBudget
 }
 
@@ -71,16 +58,13 @@
   readonly #response: CallerResponse
   readonly #deadlineAt: number
   readonly #eventStream: EventStream | undefined
-  readonly #tried = new Set<string>()
+  readonly #selector: EndpointSelector
   readonly #attemptLines: AttemptLine[] = []
   readonly #retryable: boolean
-  #affinity: SessionAffinity | undefined
-  #sessionLine: SessionLine | undefined
   #currentAttempt: Attempt | undefined
   #stopReason: 'caller-gone' | 'deadline' | 'prompt-blocked' | undefined
   #mayHaveRun = false
   #executedAttempts = 0
-  #connectFailures = 0
   /** True once an endpoint closed its connection before the end of an answer. */
   #closedEarly = false
   #fallbackResponse: Extract<AttemptResult, { kind: 'answered' }> | undefined
@@ -90,6 +74,7 @@
     this.#context = context
     this.#response = response
     const { route, request, startedAt } = context
+    this.#selector = new EndpointSelector(services, context.service, request)
     this.#deadlineAt = startedAt + Math.min(request.timeoutMs ?? Infinity, route.timeoutMs)
     this.#retryable = route.idempotent || (route.streaming && route.resumable)
     this.#eventStream = route.streaming ? new EventStream(route.resumable) : undefined
@@ -115,33 +100,25 @@
   async #runAttempts (): Promise<RouteError | undefined> {
     for (;;) {
       if (this.#stopReason !== undefined || this.#response.disconnected) return this.#stoppedError()
-      const choice = await this.#chooseEndpoint()
-      if (this.#stopReason !== undefined) continue
-      if (choice === undefined) return this.#noChoiceError()
       const refusal = await this.#checkPrompt()
-      if (this.#stopReason !== undefined) continue
       if (refusal !== undefined) return this.#mayHaveRun ? this.#createError('response_lost', refusal.detail) : refusal
-      if (!await this.#isAdmitted(choice) || this.#stopReason !== undefined) continue
+      const choice = await this.#selector.select()
+      if (this.#stopReason !== undefined) continue
+      if (choice === undefined) return this.#noChoiceError()
       const result = await this.#attempt(choice)
       const next = this.#handleResult(choice, result)
       if (next !== 'again') return next
     }
   }
 
-  /** Checks the prompt before each send: evidence against it may have come since the last one. */
+  /** Checks the prompt before each attempt: evidence against it may have come since the last one. */
   async #checkPrompt (): Promise<RouteError | undefined> {
     const { prompt, id } = this.#context.request
     return prompt === undefined ? undefined : await this.#services.promptGuard.check(prompt, id)
   }
 
-  /** Takes an admission of an endpoint that named a limit; without one another endpoint is chosen. */
-  async #isAdmitted (choice: EndpointChoice): Promise<boolean> {
-    const { limiter } = this.#services
-    return !limiter.isLimited(choice.state) || await limiter.admit(choice.state)
-  }
-
   #noChoiceError (): RouteError {
-    const limitWaitMs = this.#candidates().limitWaitMs()
+    const limitWaitMs = this.#selector.limitWaitMs()
     if (limitWaitMs !== undefined) return this.#createError('limit_reached', 'the limits of all endpoints are used up', this.#spread(limitWaitMs))
     return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
   }
@@ -151,47 +128,19 @@
     return waitMs + hashString(this.#context.request.id) % RETURN_SPREAD_MS
   }
 
-  /** Cancels an attempt whose answer hasn't begun when a part of its prompt is blocked, before it ends another engine. */
+  /** Stops a request whose answer hasn't begun when a part of its prompt is blocked, before it ends another engine. */
   #onPartsBlocked (parts: ReadonlySet<number>): void {
     const { prompt } = this.#context.request
-    if (prompt === undefined || this.#currentAttempt === undefined || this.#currentAttempt.answerBeganAt !== undefined) return
+    if (prompt === undefined || this.#currentAttempt?.answerBeganAt !== undefined) return
     if (this.#services.promptGuard.hasPartOf(prompt, parts)) this.#stop('prompt-blocked')
   }
 
-  async #chooseEndpoint (): Promise<EndpointChoice | undefined> {
-    const { prompt, id } = this.#context.request
-    const { clock, dataCentre, metrics } = this.#services
-    const choice = prompt === undefined
-      ? placeCall(id, dataCentre, this.#candidates(), clock.nowMs())
-      : await this.#chooseEngine(prompt)
-    if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
-    return choice
-  }
-
-  /** Looks up the session's engine once; further attempts reuse the result. */
-  async #chooseEngine (prompt: Prompt): Promise<EndpointChoice | undefined> {
-    const { clock, sessionAffinity } = this.#services
-    const key = promptKey(prompt)
-    if (this.#affinity === undefined) {
-      const startedAt = clock.nowMs()
-      this.#affinity = await sessionAffinity.resolve(this.#context.service, key)
-      this.#sessionLine = { id: key.session, by: this.#affinity?.decidedBy ?? '', ms: Math.round(clock.nowMs() - startedAt) }
-    }
-    return placePrompt(key.session, this.#affinity?.endpoint, this.#candidates(), clock.nowMs())
-  }
-
-  /** After connections to several endpoints failed, those of the own data centre: this one may be cut off from the others. */
-  #candidates (): Candidates {
-    const { pool, dataCentre } = this.#services
-    return pool.candidates(this.#context.service, this.#tried, this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre)
-  }
-
   async #attempt (choice: EndpointChoice): Promise<AttemptResult> {
     const { clock } = this.#services
     const { route } = this.#context
     const state = choice.state as PooledEndpoint
     const startedAt = clock.nowMs()
-    this.#tried.add(state.endpoint.id)
+    this.#selector.recordAttempt(state.endpoint)
     if (!this.#retryable) state.agent.closeIdle(MAX_REUSE_IDLE_MS)
     state.inFlight++
     const attempt = new Attempt(state.agent, this.#buildExchangeRequest(state), this.#response, {
@@ -237,20 +186,12 @@
       priority: account?.priority ?? route.priority,
       timeLeftMs: this.#deadlineAt - this.#services.clock.nowMs(),
       lastEventId: this.#eventStream?.lastId,
-      promptSource: this.#promptSource(state)
+      promptSource: this.#selector.promptSource(state)
     })
     const allHeaders = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
     return { address, port, method: request.method, target: request.target, headers: allHeaders, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
   }
 
-  /** A healthy engine to copy cached prompt parts from: the session's engine copies from its source, others from the session's engine. */
-  #promptSource (state: PooledEndpoint): Endpoint | undefined {
-    if (this.#affinity === undefined) return undefined
-    const { endpoint, source } = this.#affinity
-    const engine = this.#services.pool.getReachable(state.hash === endpoint ? source : endpoint)
-    return engine?.health.isAvailable(this.#services.clock.nowMs()) === true ? engine.endpoint : undefined
-  }
-
   /** Decodes a response head and records the load in it at once: the load is current now, however long the body takes. */
   #decodeHead (state: PooledEndpoint, status: number, headers: HeaderList): ResponseHead {
     const head = this.#services.codec.decodeResponse(this.#context.request, status, headers)
@@ -286,7 +227,8 @@
         if (result.by === 'other-endpoint') recordOutcome('misdirected')
         if (result.by !== 'connect') return this.#mayRetry() ? 'again' : this.#createError('endpoint_refused', result.detail)
         recordOutcome('unreachable')
-        return ++this.#connectFailures < MAX_CONNECT_FAILURES ? 'again' : this.#createError('no_endpoint', result.detail)
+        this.#selector.recordConnectFailure()
+        return this.#selector.connectFailures < MAX_CONNECT_FAILURES ? 'again' : this.#createError('no_endpoint', result.detail)
       case 'lost':
         this.#executedAttempts++
         this.#mayHaveRun = true
@@ -379,7 +321,7 @@
       account: account?.id ?? '',
       configRevision,
       listAgeMs: Math.round(pool.listAgeMs),
-      ...this.#sessionLine === undefined ? {} : { session: this.#sessionLine },
+      ...this.#selector.sessionLine === undefined ? {} : { session: this.#selector.sessionLine },
       ...this.#closedEarly && request.prompt !== undefined ? { parts: sharedParts(request.prompt).slice(0, MAX_LOGGED_PARTS).map(part => part.id) } : {},
       attempts: this.#attemptLines,
       status,
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -97,12 +97,12 @@
     workers.forEach(w => { w.requestsPerSec = 260 })
     await call(first.port, '/write/1')
     workers.forEach(w => { w.requestsPerSec = undefined })
-    for (let i = 0; i < 6; i++) {
+    const named = (): unknown[] => logLines.filter(line => line.msg === 'endpoint named another limit').map(line => line.requestsPerSec)
+    while (named().length < 2) { // the calls go to either worker
       await sleep(20)
       await call(first.port, '/write/1')
     }
-    const named = logLines.filter(line => line.msg === 'endpoint named another limit').map(line => line.requestsPerSec)
-    expect([named.slice(0, 1), named.slice(-1)]).toEqual([[260], [null]])
+    expect(named()).toEqual([260, null])
   })
 
   it('ends a call without a response at its deadline', async () => {
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -69,7 +69,8 @@
 
 function gossipRow (kind: number, d: GossipDatagram): Row {
   const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_SCALE), Math.round(l.ended * COUNT_SCALE)])
-  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads, d.limits.flatMap(l => [l.endpoint, l.requestsPerSec, l.ageMs])]
+  const limits = d.limits.flatMap(l => [l.endpoint, l.requestsPerSec, l.ageMs])
+  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads, limits]
 }
 
 function gossipOf (row: Row): GossipDatagram {
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -30,6 +30,17 @@
   fc.record({ kind: fc.constantFrom('ping' as const, 'ack' as const, 'pingReq' as const), seq: count, target: name, from: digest, rumours: fc.array(rumour, { maxLength: 12 }) }),
   fc.record({ kind: fc.constantFrom('ownPing' as const, 'ownAck' as const), seq: count, id: name, listDigest: count }),
   fc.record({ kind: fc.constantFrom('take' as const, 'grant' as const), seq: count, id: name, subject: name, count, waitMs: count }),
+  fc.record({
+    kind: fc.constant('news' as const),
+    id: name,
+    configRevision: count,
+    configAgeMs: count,
+    listRevision: count,
+    listDigest: count,
+    listAgeMs: count,
+    loads: fc.array(fc.record({ endpoint: count, requests: count, ageMs: count, failed: count, ended: count }), { maxLength: 48 }),
+    limits: fc.array(fc.record({ endpoint: count, requestsPerSec: fc.double({ min: -1, max: 1e6, noNaN: true }), ageMs: count }), { maxLength: 32 })
+  }),
   fc.record({
     kind: fc.constantFrom('askCrashes' as const, 'tellCrashes' as const),
     id: name,
