Test that requests whose answer hasn't begun are taken back when their prompt is blocked

Five requests with the fatal part at five engines that take 400 ms to answer: the first three end theirs, the last two are cancelled before they begin.

--- a/src/platform/FatalPart.test.ts
+++ b/src/platform/FatalPart.test.ts
@@ -1,5 +1,7 @@
 /** End-to-end tests on loopback of prompts that end the engines which answer them. */
 import { afterEach, describe, expect, it } from 'vitest'
+import { hashString } from '../common/Hash.js'
+import { listOf } from '../common/TestUtils.test.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
@@ -29,6 +31,12 @@
   #requests = 0
   #storePort = 0
   #peerPort = 0
+  readonly #workMs: number
+
+  /** @param workMs time from a request to its answer. */
+  constructor (workMs = 20) {
+    this.#workMs = workMs
+  }
 
   async start (): Promise<void> {
     this.#storePort = await this.store.listen()
@@ -53,6 +61,14 @@
     return await this.#send(gateway, parts, i)
   }
 
+  /** Sends a request with the fatal part in a session whose first choice is this engine. */
+  async sendFatalTo (engine: number): Promise<CallResult> {
+    const engines = listOf(Array.from({ length: ENGINES }, (_, i) => `engine${i}`))
+    let session = 0
+    while (engines.first(hashString(`s${session}`)) !== `engine${engine}`) session++
+    return await this.#send(this.gateways[engine % GATEWAYS]!, [`t${engine}`, FATAL, `s${session}`], this.#requests++)
+  }
+
   /** Sends a request that shares the template, the document and the caller with the fatal ones. */
   async sendSound (): Promise<CallResult> {
     const i = this.#requests++
@@ -74,7 +90,7 @@
     const id = `engine${this.#engines++}`
     const engine = new PlatformWorker(id, {
       fatalPart: FATAL,
-      workMs: 20,
+      workMs: this.#workMs,
       eventIntervalMs: 20,
       onFatalRequest: () => { if (this.crashes >= MAX_CRASHES) this.laterRequests++ },
       onCrash: () => {
@@ -114,6 +130,18 @@
     expect(refused.length).toBeGreaterThanOrEqual(FATAL_REQUESTS - MAX_CRASHES - MAX_LATER_REQUESTS)
   })
 
+  it('is taken back from engines that have not begun to answer when it is blocked', async () => {
+    site = new FatalPartSite(400)
+    await site.start()
+    const pending: Array<Promise<CallResult>> = []
+    for (let i = 0; i < 5; i++) { // the first three end their engines while the last two wait for their answers
+      pending.push(site.sendFatalTo(i))
+      await sleep(i < 3 ? 150 : 50)
+    }
+    const statuses = (await Promise.all(pending)).map(a => a.status)
+    expect([site.crashes, statuses.slice(3)]).toEqual([3, [502, 502]]) // they may have run
+  })
+
   it('is known to a gateway that starts later before that gateway is ready', async () => {
     site = new FatalPartSite()
     await site.start()
