Drop a gossiped limit with the incarnation that named it

An endpoint that starts again under its id begins without a limit, but a peer's report of the earlier incarnation put it back for up to 30 s: reports were matched by the hash of the id. They now carry the incarnation's start. Found by reading; the new test of EndpointPool fails without the field's comparison.

--- a/src/common/routing/LimitReports.ts
+++ b/src/common/routing/LimitReports.ts
@@ -25,7 +25,7 @@
     for (const state of this.#limited) {
       const { requestsPerSec, at } = state.limit
       if (state.limitPerSec(now) === undefined && now - at > ENDED_TTL_MS) this.#limited.delete(state)
-      else reports.push({ endpoint: state.hash, requestsPerSec: requestsPerSec ?? -1, ageMs: Math.max(0, Math.round(now - at)) })
+      else reports.push({ endpoint: state.hash, startedAtMs: state.endpoint.startedAtMs, requestsPerSec: requestsPerSec ?? -1, ageMs: Math.max(0, Math.round(now - at)) })
     }
     return reports.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_REPORTS)
   }
--- a/src/gateway/EndpointPool.test.ts
+++ b/src/gateway/EndpointPool.test.ts
@@ -124,3 +124,23 @@
     expect([closeIdle.mock.calls.length, stateOf(pool, 1) === before, stateOf(pool, 1).health.isAvailable(NOW)]).toEqual([1, false, true])
   })
 })
+
+describe('EndpointPool, when endpoints name limits', () => {
+  it('takes a limit from a peer, and drops it with the incarnation that named it', () => {
+    const pool = createPool(2)
+    const named = { endpoint: hashString('e1'), startedAtMs: 1, requestsPerSec: 2.2, ageMs: 300 }
+    const limit = (): number | undefined => pool.get(named.endpoint)!.limitPerSec(NOW)
+    pool.mergeLimitReports([named])
+    const before = [limit(), pool.limitReports()]
+    pool.update({ revision: 2, endpoints: [endpoint(0), endpoint(1, { startedAtMs: 7 })] }, 0)
+    pool.mergeLimitReports([named])
+    expect([before, limit(), pool.limitReports()]).toEqual([[2.2, [named]], undefined, []])
+  })
+
+  it('lets the later answer count, from whichever instance it is heard first', () => {
+    const pool = createPool(1)
+    const named = { endpoint: hashString('e0'), startedAtMs: 1, requestsPerSec: 2.2, ageMs: 300 }
+    pool.mergeLimitReports([{ ...named, requestsPerSec: -1, ageMs: 100 }, named])
+    expect(stateOf(pool, 0).limitPerSec(NOW)).toBeUndefined()
+  })
+})
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -127,9 +127,9 @@
   /** Merges the limits that peers heard of. */
   mergeLimitReports (reports: readonly GossipedLimit[]): void {
     const now = this.#clock.nowMs()
-    for (const { endpoint, requestsPerSec, ageMs } of reports) {
+    for (const { endpoint, startedAtMs, requestsPerSec, ageMs } of reports) {
       const state = this.#byHash.get(endpoint)
-      if (state !== undefined) this.#applyLimit(state, requestsPerSec < 0 ? undefined : requestsPerSec, now - ageMs, '')
+      if (state?.endpoint.startedAtMs === startedAtMs) this.#applyLimit(state, requestsPerSec < 0 ? undefined : requestsPerSec, now - ageMs, '')
     }
   }
 
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -69,7 +69,7 @@
 
 function gossipRow (kind: number, d: GossipDatagram): Row {
   const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_SCALE), Math.round(l.ended * COUNT_SCALE)])
-  const limits = d.limits.flatMap(l => [l.endpoint, l.requestsPerSec, l.ageMs])
+  const limits = d.limits.flatMap(l => [l.endpoint, l.startedAtMs, l.requestsPerSec, l.ageMs])
   return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads, limits]
 }
 
@@ -86,9 +86,9 @@
 
 function limitsOf (flat: readonly number[]): GossipedLimit[] {
   const limits = []
-  for (let i = 0; i + 2 < flat.length; i += 3) {
-    const [endpoint, requestsPerSec, ageMs] = flat.slice(i, i + 3)
-    limits.push({ endpoint: endpoint!, requestsPerSec: requestsPerSec!, ageMs: ageMs! })
+  for (let i = 0; i + 3 < flat.length; i += 4) {
+    const [endpoint, startedAtMs, requestsPerSec, ageMs] = flat.slice(i, i + 4)
+    limits.push({ endpoint: endpoint!, startedAtMs: startedAtMs!, requestsPerSec: requestsPerSec!, ageMs: ageMs! })
   }
   return limits
 }
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -39,7 +39,7 @@
     listDigest: count,
     listAgeMs: count,
     loads: fc.array(fc.record({ endpoint: count, requests: count, ageMs: count, failed: count, ended: count }), { maxLength: 48 }),
-    limits: fc.array(fc.record({ endpoint: count, requestsPerSec: fc.double({ min: -1, max: 1e6, noNaN: true }), ageMs: count }), { maxLength: 32 })
+    limits: fc.array(fc.record({ endpoint: count, startedAtMs: count, requestsPerSec: fc.double({ min: -1, max: 1e6, noNaN: true }), ageMs: count }), { maxLength: 32 })
   }),
   fc.record({
     kind: fc.constantFrom('askCrashes' as const, 'tellCrashes' as const),
