Abort a stream without length or chunks that ends before its first event

Callers saw an empty stream that looked complete when an engine ended right after the head of such an answer; it also counted as a whole answer on its prompt. The check for an end within an event found nothing buffered. An answer with a length or chunks may be empty, so only those that end with their connection are meant; a stream that is resumed has its earlier events. The new test failed before (complete: true).

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -117,14 +117,21 @@
         : { kind: 'answered', head, body })
       return
     }
-    if (this.#options.eventStream?.hasPartialEvent === true) {
-      this.#settle({ kind: 'broken', why: 'closed', detail: 'stream ended within an event' })
+    if (this.#endedEarly()) {
+      this.#settle({ kind: 'broken', why: 'closed', detail: 'stream ended within an event or before the first' })
       return
     }
     this.#response.end()
     this.#settle({ kind: 'streamed', status: head.status })
   }
 
+  /** True for a stream that can't be whole, though its connection ended normally. */
+  #endedEarly (): boolean {
+    const { eventStream } = this.#options
+    if (eventStream === undefined) return false
+    return eventStream.hasPartialEvent || (this.#exchange.isCloseDelimited && !eventStream.hasEvents)
+  }
+
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
     if (!sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
     else if (this.#streaming) this.#settle({ kind: 'broken', why: 'closed', detail })
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -54,6 +54,11 @@
     return this.#sent
   }
 
+  /** True for an answer without a length, which ends when its connection closes. */
+  get isCloseDelimited (): boolean {
+    return this.#res !== undefined && isCloseDelimited(this.#res)
+  }
+
   /** Aborts the exchange and destroys its connection. */
   abort (): void {
     if (this.#settled) return
--- a/src/gateway/EventStream.ts
+++ b/src/gateway/EventStream.ts
@@ -35,6 +35,11 @@
     return this.#framer.isOversized
   }
 
+  /** True once an event was passed on. */
+  get hasEvents (): boolean {
+    return this.#passedOn
+  }
+
   /** True when an incomplete event is buffered. */
   get hasPartialEvent (): boolean {
     return this.#framer.pendingBytes > 0
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -160,6 +160,13 @@
     expect([answer.status, answer.complete, answer.body, worker.executedIds.length]).toEqual([200, false, 'id: 1\ndata: token1\n\n', 1])
   })
 
+  // A crash right after the head of such an answer gave the caller an empty stream that looked complete.
+  it('are aborted when an answer without length or chunks ends before its first event', async () => {
+    await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed head')
+    const answer = await call(first.port, '/stream/1', PROMPT)
+    expect([answer.status, answer.complete, answer.body]).toEqual([200, false, ''])
+  })
+
   it('log the shared parts of the prompt and the age of the answer when the worker closes the connection', async () => {
     await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
     await call(first.port, '/stream/1', PROMPT)
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -21,6 +21,8 @@
   | 'tearing'
   /** Executes and answers a stream without length or chunks, whose connection ends normally in the middle of the second event; other calls are answered. */
   | 'unframed'
+  /** The same, but the connection ends before the first event. */
+  | 'unframed head'
   /** Executes and never answers. */
   | 'mute'
   /** Executes, sends the first event of a stream and then one byte now and then; other calls are answered. */
@@ -141,7 +143,7 @@
 
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
-    if (this.mode === 'unframed') res.useChunkedEncodingByDefault = false
+    if (this.mode === 'unframed' || this.mode === 'unframed head') res.useChunkedEncodingByDefault = false
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     res.flushHeaders()
     if (this.#isFatal(req)) res.write('id: 1\ndata: to', () => this.#crash())
@@ -170,6 +172,8 @@
     if (res.destroyed) return
     if (event > STREAM_EVENT_COUNT) {
       res.end()
+    } else if (this.mode === 'unframed head') {
+      res.end()
     } else if (this.mode === 'head only') {
       setTimeout(() => (req.socket as Socket).resetAndDestroy(), DRIP_INTERVAL_MS)
     } else if ((this.mode === 'dripping' || this.mode === 'endless') && event === 2) {
