--- a/src/common/routing/LimitReports.ts
+++ b/src/common/routing/LimitReports.ts
@@ -23,10 +23,14 @@
   select (now: number): GossipedLimit[] {
     const reports: GossipedLimit[] = []
     for (const state of this.#limited) {
-      const { requestsPerSec, at } = state.limit
-      if (state.limitPerSec(now) === undefined && now - at > ENDED_TTL_MS) this.#limited.delete(state)
-      else reports.push({ endpoint: state.hash, startedAtMs: state.endpoint.startedAtMs, requestsPerSec: requestsPerSec ?? -1, ageMs: Math.max(0, Math.round(now - at)) })
+      if (state.limitPerSec(now) === undefined && now - state.limit.at > ENDED_TTL_MS) this.#limited.delete(state)
+      else reports.push(createReport(state, now))
     }
     return reports.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_REPORTS)
   }
 }
+
+function createReport (state: EndpointState, now: number): GossipedLimit {
+  const { requestsPerSec, at } = state.limit
+  return { endpoint: state.hash, startedAtMs: state.endpoint.startedAtMs, requestsPerSec: requestsPerSec ?? -1, ageMs: Math.max(0, Math.round(now - at)) }
+}
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -26,6 +26,7 @@
   members: count,
   loads: fc.array(fc.record({ endpoint: count, work: fc.integer({ min: -1 }) }), { maxLength: 64 })
 })
+const rate = fc.double({ min: -1, max: 1e6, noNaN: true })
 const datagram: fc.Arbitrary<PeerDatagram> = fc.oneof(
   fc.record({ kind: fc.constantFrom('ping' as const, 'ack' as const, 'pingReq' as const), seq: count, target: name, from: digest, rumours: fc.array(rumour, { maxLength: 12 }) }),
   fc.record({ kind: fc.constantFrom('ownPing' as const, 'ownAck' as const), seq: count, id: name, listDigest: count }),
@@ -39,7 +40,7 @@
     listDigest: count,
     listAgeMs: count,
     loads: fc.array(fc.record({ endpoint: count, requests: count, ageMs: count, failed: count, ended: count }), { maxLength: 48 }),
-    limits: fc.array(fc.record({ endpoint: count, startedAtMs: count, requestsPerSec: fc.double({ min: -1, max: 1e6, noNaN: true }), ageMs: count }), { maxLength: 32 })
+    limits: fc.array(fc.record({ endpoint: count, startedAtMs: count, requestsPerSec: rate, ageMs: count }), { maxLength: 32 })
   }),
   fc.record({
     kind: fc.constantFrom('askCrashes' as const, 'tellCrashes' as const),
