--- a/src/common/routing/PartEvidence.ts
+++ b/src/common/routing/PartEvidence.ts
@@ -187,7 +187,8 @@
       this.#parts.delete(part)
       this.#summaries.delete(part)
     } else {
-      this.#summaries.set(part, { endpoints: new Set(unrefuted.map(([endpoint]) => endpoint)), episodes, lastAt: times[times.length - 1] ?? -Infinity, latestAt })
+      const endpoints = new Set(unrefuted.map(([endpoint]) => endpoint))
+      this.#summaries.set(part, { endpoints, episodes, lastAt: times[times.length - 1] ?? -Infinity, latestAt })
     }
     if (episodes >= SUSPECT_EPISODES) this.#suspects.add(part)
     else this.#suspects.delete(part)
