--- a/src/bench/FleetBench.ts
+++ b/src/bench/FleetBench.ts
@@ -142,7 +142,7 @@
   const batches = Array.from({ length: 16 }, () => fleet.createReports())
   const codec = new DatagramCodec('')
   const ages = { configAgeMs: 1_000, listAgeMs: 1_000 }
-  const gossip: GossipDatagram = { kind: 'news', id: '10.0.0.1', configRevision: 1, listRevision: 1, listDigest: 1, ...ages, loads: batches[0]! }
+  const gossip: GossipDatagram = { kind: 'news', id: '10.0.0.1', configRevision: 1, listRevision: 1, listDigest: 1, ...ages, loads: batches[0]!, limits: [] }
   const encoded = codec.encode(gossip)
   const first = fleet.pool.candidates(SERVICE).rank(1, 1)[0] as PooledEndpoint
   return {
--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -26,6 +26,7 @@
   not_ready: { status: 503, outcome: 'not-run', meaning: 'The instance has no configuration in force yet.' },
   stale_configuration: { status: 503, outcome: 'not-run', meaning: 'The configuration has not been confirmed for a while and does not name this route or key.' },
   stopping: { status: 503, outcome: 'not-run', meaning: 'The instance is stopping and could not finish the request in time.' },
+  limit_reached: { status: 503, outcome: 'not-run', meaning: 'The endpoints that serve this take no more requests for now.' },
   prompt_blocked: { status: 503, outcome: 'not-run', meaning: 'Engines ended when they answered prompts with a part of this one; it is not sent to another.' },
   placement_declined: { status: 503, outcome: 'not-run', meaning: 'The home of the endpoint declined the request.' },
   endpoint_refused: { status: 503, outcome: 'not-run', meaning: 'The endpoint said that it did not run the request.' },
--- a/src/common/limits/AllowanceOwner.ts
+++ b/src/common/limits/AllowanceOwner.ts
@@ -17,6 +17,12 @@
 /** Token buckets of the client accounts that one instance owns. */
 export class AllowanceOwner {
   readonly #buckets = new Map<string, AccountBucket>()
+  readonly #startsFull: boolean
+
+  /** @param startsFull false when a change of owner must not admit a burst. */
+  constructor (startsFull = true) {
+    this.#startsFull = startsFull
+  }
 
   /** Grants up to `count` admissions. @param fraction fraction of the rate available to this side of a partition, 0 to 1. */
   grant (account: string, ratePerSec: number, fraction: number, count: number, now: number): number {
@@ -24,7 +30,7 @@
     const burst = Math.max(1, rate * BURST_SEC)
     let entry = this.#buckets.get(account)
     if (entry === undefined) {
-      entry = { bucket: new TokenBucket(rate, burst, now), usedAt: now }
+      entry = { bucket: new TokenBucket(rate, burst, now, this.#startsFull ? burst : 0), usedAt: now }
       this.#buckets.set(account, entry)
     }
     entry.usedAt = now
@@ -32,6 +38,11 @@
     return entry.bucket.takeUpTo(count, now)
   }
 
+  /** Time in ms until the next admission of an account; 0 when it has no bucket. */
+  waitMs (account: string, now: number): number {
+    return this.#buckets.get(account)?.bucket.waitMs(1, now) ?? 0
+  }
+
   /** Number of accounts with a bucket. */
   get size (): number {
     return this.#buckets.size
--- a/src/common/routing/Candidates.ts
+++ b/src/common/routing/Candidates.ts
@@ -37,7 +37,7 @@
   rank (keyHash: number, count: number, accepts?: (state: EndpointState) => boolean): EndpointState[] {
     const ranked = this.#group.rank(keyHash, count, e => this.#isAvailable(e) && accepts?.(e) !== false)
     if (ranked.length > 0 || accepts !== undefined || this.#group.members.some(e => this.#isUntried(e) && this.#isReachable(e))) return ranked
-    return this.#group.rank(keyHash, count, e => this.#isUntried(e) && e.health.isAvailable(this.#now))
+    return this.#group.rank(keyHash, count, e => this.#isUntried(e) && this.#takesRequests(e))
   }
 
   /** Mean load of the endpoints in reachable data centres. */
@@ -47,14 +47,25 @@
 
   /** The endpoint whose ejection ends first, for when all are ejected: a trial request there is preferable to rejecting the request. */
   firstToReadmit (): EndpointState | undefined {
-    const untried = this.#group.members.filter(e => this.#isUntried(e))
+    const untried = this.#group.members.filter(e => this.#isUntried(e) && !e.isDeferred(this.#now))
     const reachable = untried.filter(e => this.#isReachable(e))
     return (reachable.length > 0 ? reachable : untried).reduce<EndpointState | undefined>(
       (best, e) => best === undefined || e.health.ejectedUntil < best.health.ejectedUntil ? e : best, undefined)
   }
 
+  /** Time in ms until the limit of an endpoint may take a further request; undefined when no endpoint is at its limit. */
+  limitWaitMs (): number | undefined {
+    const waits = this.#group.members.filter(e => e.isDeferred(this.#now)).map(e => e.deferredUntil - this.#now)
+    return waits.length === 0 ? undefined : Math.min(...waits)
+  }
+
   #isAvailable (state: EndpointState): boolean {
-    return this.#isUntried(state) && state.health.isAvailable(this.#now) && this.#isReachable(state)
+    return this.#isUntried(state) && this.#takesRequests(state) && this.#isReachable(state)
+  }
+
+  /** True for an endpoint that is neither ejected nor at its limit. */
+  #takesRequests (state: EndpointState): boolean {
+    return state.health.isAvailable(this.#now) && !state.isDeferred(this.#now)
   }
 
   #isUntried (state: EndpointState): boolean {
--- a/src/common/routing/EndpointState.ts
+++ b/src/common/routing/EndpointState.ts
@@ -10,6 +10,7 @@
 
 const REPORT_FRESH_MS = 1_500 // a report has full weight up to this age
 const REPORT_EXPIRY_MS = 4_000 // and none from this age on
+const LIMIT_TTL_MS = 30_000 // without an answer for this long, the endpoint is asked again without a limit
 const REPORT_HALF_WEIGHT_MS = (REPORT_FRESH_MS + REPORT_EXPIRY_MS) / 2 // in sums a report counts fully up to this age, then not at all
 
 /** Totals over a group of endpoints, which each endpoint keeps up to date. */
@@ -34,6 +35,8 @@
   readonly hash: number
   readonly weight = 1
   readonly health = new EndpointHealth()
+  /** Time before which the endpoint's limit takes no further request. */
+  deferredUntil = -Infinity
   #limit: RequestLimit = { requestsPerSec: undefined, at: -Infinity }
   #totals: ILoadTotals | undefined
   #inFlight = 0
@@ -99,10 +102,21 @@
     return this.#limit
   }
 
+  /** Requests a second that the endpoint takes from all instances together; undefined when it named no limit lately. */
+  limitPerSec (now: number): number | undefined {
+    return now - this.#limit.at < LIMIT_TTL_MS ? this.#limit.requestsPerSec : undefined
+  }
+
+  /** True while the endpoint's limit is used up, as far as this instance knows. */
+  isDeferred (now: number): boolean {
+    return now < this.deferredUntil
+  }
+
   /** Records the limit that the endpoint named in an answer at `at`, undefined for none; returns false when a later answer is known. */
   recordLimit (requestsPerSec: number | undefined, at: number): boolean {
     if (at <= this.#limit.at) return false
     this.#limit = { requestsPerSec, at }
+    if (requestsPerSec === undefined) this.deferredUntil = -Infinity
     return true
   }
 
--- a/src/common/routing/HolderDirectory.ts
+++ b/src/common/routing/HolderDirectory.ts
@@ -79,7 +79,8 @@
   /** Expected delay of a session's first token at an engine, in ms. */
   #delayMs (c: EndpointState, meanLoad: number, now: number): number {
     const excessMs = Math.max(0, c.load(now) - meanLoad) * EXCESS_REQUEST_MS
-    return this.#backlog.remainingMs(c.hash, now) + excessMs + c.health.failureRate(now) * FAILURE_PENALTY_MS
+    const limitMs = 1_000 / (c.limitPerSec(now) ?? Infinity)
+    return this.#backlog.remainingMs(c.hash, now) + excessMs + limitMs + c.health.failureRate(now) * FAILURE_PENALTY_MS
   }
 
   #holdsTemplate (template: number, endpoint: number, now: number): boolean {
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,12 +1,13 @@
 /** Holds the state and the connections of each listed endpoint, and updates them as the list of endpoints changes. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { GossipedLoad } from '../common/generated/PeerDatagram.js'
+import type { GossipedLimit, GossipedLoad } from '../common/generated/PeerDatagram.js'
 import { Candidates } from '../common/routing/Candidates.js'
 import { DataCentreHealth } from '../common/routing/DataCentreHealth.js'
 import { EndpointGroup } from '../common/routing/EndpointGroup.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { EndpointState } from '../common/routing/EndpointState.js'
 import { EndpointTable } from '../common/routing/EndpointTable.js'
+import { LimitReports } from '../common/routing/LimitReports.js'
 import { LOAD_REPORT_TTL_MS, LoadReports, MIN_REPORTED_OUTCOMES } from '../common/routing/LoadReports.js'
 import type { Endpoint, EndpointList } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
@@ -29,6 +30,7 @@
   readonly #byHash = new Map<number, PooledEndpoint>()
   readonly #groups = new Map<string, EndpointGroup>()
   readonly #reports = new LoadReports()
+  readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
 
   constructor (clock: IClock, log: Log) {
@@ -84,6 +86,11 @@
     return reachable ? state : undefined
   }
 
+  /** The endpoint with this hash, if it is listed. */
+  get (hash: number): PooledEndpoint | undefined {
+    return this.#byHash.get(hash)
+  }
+
   /** Load reports to send to peers. */
   loadReports (): GossipedLoad[] {
     return this.#reports.select(this.#clock.nowMs(), state => this.#byHash.get(state.hash) === state)
@@ -109,9 +116,30 @@
 
   /** Records the limit that an endpoint named in an answer, undefined for none. @param requestId request that was answered. */
   recordLimit (state: PooledEndpoint, requestsPerSec: number | undefined, requestId: string): void {
+    this.#applyLimit(state, requestsPerSec, this.#clock.nowMs(), requestId)
+  }
+
+  /** Limits of endpoints to send to peers. */
+  limitReports (): GossipedLimit[] {
+    return this.#limits.select(this.#clock.nowMs())
+  }
+
+  /** Merges the limits that peers heard of. */
+  mergeLimitReports (reports: readonly GossipedLimit[]): void {
+    const now = this.#clock.nowMs()
+    for (const { endpoint, requestsPerSec, ageMs } of reports) {
+      const state = this.#byHash.get(endpoint)
+      if (state !== undefined) this.#applyLimit(state, requestsPerSec < 0 ? undefined : requestsPerSec, now - ageMs, '')
+    }
+  }
+
+  #applyLimit (state: PooledEndpoint, requestsPerSec: number | undefined, at: number, requestId: string): void {
     const before = state.limit.requestsPerSec
-    state.recordLimit(requestsPerSec, this.#clock.nowMs())
-    if (before !== requestsPerSec) this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, requestsPerSec: requestsPerSec ?? null, before }, 'endpoint named another limit')
+    if (!state.recordLimit(requestsPerSec, at)) return
+    if (requestsPerSec !== undefined) this.#limits.add(state)
+    if (before === requestsPerSec) return
+    const log = { step: 'endpoints', endpoint: state.endpoint.id, requestId, requestsPerSec: requestsPerSec ?? null, before }
+    this.#log.info({ ...log, ageMs: Math.round(this.#clock.nowMs() - at) }, 'endpoint named another limit')
   }
 
   /** Failure rate of the other endpoints of the same service. */
@@ -194,6 +222,7 @@
     state.agent.closeIdle()
     this.#states.delete(e.id)
     this.#reports.remove(state)
+    this.#limits.remove(state)
     if (this.#byHash.get(state.hash) === state) this.#byHash.delete(state.hash)
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -10,6 +10,7 @@
 import { CallerServer } from './CallerServer.js'
 import { ConfigHolder } from './ConfigHolder.js'
 import { probeByConnecting } from './CrashWatch.js'
+import { EndpointLimiter, type FleetShare } from './EndpointLimiter.js'
 import { EndpointPool } from './EndpointPool.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import { GossipTask, type IGossipHost } from './GossipTask.js'
@@ -94,13 +95,18 @@
     const sessionAffinity = this.own(new SessionAffinityTask(this.#peers, clock, this.#pool))
     this.#promptGuard = this.own(new PromptGuard(this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting))
     this.own(this.#pool.table.onChange(({ endpoint, kind }) => { if (kind === 'gone') this.#promptGuard.recordGone(endpoint) }))
-    const permits = this.own(new PermitTask(this.#peers, clock, { part: (part, now) => this.#promptGuard.issueTrial(part, now) }))
+    const limiter: EndpointLimiter = new EndpointLimiter(clock, endpoint => permits.take('endpoint', endpoint), () => this.#fleetShare())
+    const permits: PermitTask = this.own(new PermitTask(this.#peers, clock, {
+      part: (part, now) => this.#promptGuard.issueTrial(part, now),
+      endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now)
+    }))
     const services = {
       clock,
       codec,
       metrics,
       sessionAffinity,
       promptGuard: this.#promptGuard,
+      limiter,
       pool: this.#pool,
       config: this.#config,
       dataCentre: settings.dataCentre,
@@ -220,6 +226,8 @@
       viewVersion: () => this.#viewVersion(),
       loadReports: () => this.#pool.loadReports(),
       mergeLoadReports: (peer, reports) => this.#pool.mergeLoadReports(peer, reports),
+      limitReports: () => this.#pool.limitReports(),
+      mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
       confirmConfig: ageMs => this.#config.confirm(ageMs),
       confirmList: (revision, ageMs) => this.#pool.confirm(revision, ageMs),
       fetch: (kind, from, ageMs) => {
@@ -239,9 +247,20 @@
     }
   }
 
+  #updateFleetSize (): number {
+    const live = this.#peers.usable().items.length
+    this.#maxLivePeers = Math.max(this.#maxLivePeers, live)
+    return live
+  }
+
+  #fleetShare (): FleetShare {
+    const live = this.#updateFleetSize()
+    return { gateways: this.#maxLivePeers, reachable: live / this.#maxLivePeers }
+  }
+
   /** This gateway's part of the retries that all gateways together may make to a service. */
   #retryBudget (service: string): SharedRetryBudget {
-    this.#maxLivePeers = Math.max(this.#maxLivePeers, this.#peers.usable().items.length)
+    this.#updateFleetSize()
     const { retryRatio: ratio, retryBurst: burst, retryWindowMs } = this.#settings
     const budget = this.#retryBudgets.get(service) ?? new SharedRetryBudget({ ratio, burst }, retryWindowMs, () => this.#maxLivePeers, this.#clock.nowMs())
     this.#retryBudgets.set(service, budget)
--- a/src/gateway/GossipTask.test.ts
+++ b/src/gateway/GossipTask.test.ts
@@ -48,6 +48,8 @@
       viewVersion: () => this.view,
       loadReports: () => [{ endpoint: 1, requests: 2, ageMs: 3, failed: 0, ended: 0 }],
       mergeLoadReports: () => {},
+      limitReports: () => [],
+      mergeLimitReports: () => {},
       confirmConfig: () => {},
       confirmList: (_revision, listAgeMs) => { this.view = { ...this.view, listAgeMs } },
       fetch: (kind, from) => { this.fetched.push(`${kind} from ${from.id}`) }
@@ -55,7 +57,7 @@
   }
 
   receive (from: string, more: Partial<GossipDatagram>): void {
-    this.#received.fire({ kind: 'news', id: from, configRevision: 1, configAgeMs: 0, listRevision: 10, listDigest: 5, listAgeMs: 0, loads: [], ...more })
+    this.#received.fire({ kind: 'news', id: from, configRevision: 1, configAgeMs: 0, listRevision: 10, listDigest: 5, listAgeMs: 0, loads: [], limits: [], ...more })
   }
 }
 
--- a/src/gateway/GossipTask.ts
+++ b/src/gateway/GossipTask.ts
@@ -25,6 +25,8 @@
   viewVersion (): ViewVersion
   loadReports (): GossipDatagram['loads']
   mergeLoadReports (peer: string, reports: GossipDatagram['loads']): void
+  limitReports (): GossipDatagram['limits']
+  mergeLimitReports (reports: GossipDatagram['limits']): void
   confirmConfig (ageMs: number): void
   confirmList (revision: number, ageMs: number): void
   /** Fetches the configuration or the list from a peer that has a newer one. @param ageMs age of the peer's copy. */
@@ -84,7 +86,7 @@
   #createMessage (loads: GossipDatagram['loads']): GossipDatagram {
     const { configRevision, configAgeMs, listRevision, listDigest, listAgeMs } = this.#host.viewVersion()
     const ages = { configAgeMs: clampAge(configAgeMs), listAgeMs: clampAge(listAgeMs) }
-    return { kind: 'news', id: this.#peers.self.id, configRevision, listRevision, listDigest, ...ages, loads }
+    return { kind: 'news', id: this.#peers.self.id, configRevision, listRevision, listDigest, ...ages, loads, limits: this.#host.limitReports() }
   }
 
   /** Sends to some peers, including those that are leaving, as they continue to serve for a while. */
@@ -99,6 +101,7 @@
 
   #receive (message: GossipDatagram): void {
     this.#host.mergeLoadReports(message.id, message.loads)
+    this.#host.mergeLimitReports(message.limits)
     const own = this.#host.viewVersion()
     const peer = this.#peers.address(message.id)
     const config = compareConfig(own, message)
--- a/src/gateway/PermitTask.ts
+++ b/src/gateway/PermitTask.ts
@@ -1,6 +1,7 @@
 /**
  * Permits for what the fleet may do only so often: a subject has one owner among the live gateways, which issues its
- * permits. A gateway asks before it acts. When the owner doesn't reply, the next in line is asked from then on.
+ * permits. A gateway asks before it acts. An owner that doesn't reply isn't asked again for a while, and nobody else in its
+ * place: two owners would issue twice as many.
  */
 import { Disposable } from '../common/Disposable.js'
 import type { AllowanceDatagram, PeerDatagram } from '../common/generated/PeerDatagram.js'
@@ -18,7 +19,7 @@
 }
 
 /** What permits are issued for. */
-export type PermitScope = 'part'
+export type PermitScope = 'part' | 'endpoint'
 
 /** Issues permits, on the owner of a subject. @param key hash of the subject. */
 export type PermitIssuer = (key: number, now: number) => Permit
@@ -41,10 +42,10 @@
   /** Asks the subject's owner for a permit; undefined when it doesn't reply. */
   async take (scope: PermitScope, key: number): Promise<Permit | undefined> {
     const { self } = this.#peers
-    const owner = this.#peers.usable().first(key, id => id === self.id || this.#replies.isResponsive(id))
+    const owner = this.#peers.usable().first(key)
     if (owner === self.id) return this.#issuers[scope](key, this.#clock.nowMs())
     const to = owner === undefined ? undefined : this.#peers.address(owner)
-    if (to === undefined) return undefined
+    if (to === undefined || !this.#replies.isResponsive(to.id)) return undefined
     const subject = `${scope}:${key}`
     return await this.#replies.query(to.id, OWNER_TIMEOUT_MS, seq => this.#peers.send(to, { kind: 'take', seq, id: self.id, subject, count: 1, waitMs: 0 }))
   }
@@ -57,7 +58,7 @@
   #issue ({ id, seq, subject }: AllowanceDatagram): void {
     const [scope, key] = subject.split(':')
     const to = this.#peers.address(id)
-    if (to === undefined || scope !== 'part') return
+    if (to === undefined || (scope !== 'part' && scope !== 'endpoint')) return
     const { granted, waitMs } = this.#issuers[scope](Number(key), this.#clock.nowMs())
     this.#peers.send(to, { kind: 'grant', seq, id: this.#peers.self.id, subject, count: granted ? 1 : 0, waitMs })
   }
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards one request whose body has been read: chooses endpoints, retries where that is safe, and enforces the deadline. */
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import type { SharedRetryBudget } from '../common/limits/SharedRetryBudget.js'
+import { hashString } from '../common/Hash.js'
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
@@ -11,6 +12,7 @@
 import { Attempt, type AttemptResult } from './Attempt.js'
 import type { CallerResponse } from './CallerResponse.js'
 import type { ExchangeRequest } from './EndpointExchange.js'
+import type { EndpointLimiter } from './EndpointLimiter.js'
 import type { EndpointPool, PooledEndpoint } from './EndpointPool.js'
 import { EventStream } from './EventStream.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -30,6 +32,7 @@
 const REUSE_DISABLED_MS = 5_000 // after a response that doesn't belong to its request, each request gets a new connection for this long
 const DEADLINE_MARGIN_MS = 60 // lets the endpoint's own deadline error arrive before this instance sends one
 const RETRY_AFTER_MS = 250
+const RETURN_SPREAD_MS = 1_000
 const MIN_REDIRECT_STATUS = 300
 const MIN_FAILURE_STATUS = 500
 const EXCESS_FAILURE_RATE = 0.2 // failure rate above the other endpoints' mean from which a failed request is retried at another one
@@ -43,6 +46,7 @@
   readonly pool: EndpointPool
   readonly sessionAffinity: SessionAffinityTask
   readonly promptGuard: PromptGuard
+  readonly limiter: EndpointLimiter
   readonly metrics: GatewayMetrics
   readonly log: RequestLog
   readonly dataCentre: string
@@ -113,10 +117,11 @@
       if (this.#stopReason !== undefined || this.#response.disconnected) return this.#stoppedError()
       const choice = await this.#chooseEndpoint()
       if (this.#stopReason !== undefined) continue
-      if (choice === undefined) return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
+      if (choice === undefined) return this.#noChoiceError()
       const refusal = await this.#checkPrompt()
       if (this.#stopReason !== undefined) continue
       if (refusal !== undefined) return this.#mayHaveRun ? this.#createError('response_lost', refusal.detail) : refusal
+      if (!await this.#isAdmitted(choice) || this.#stopReason !== undefined) continue
       const result = await this.#attempt(choice)
       const next = this.#handleResult(choice, result)
       if (next !== 'again') return next
@@ -129,6 +134,23 @@
     return prompt === undefined ? undefined : await this.#services.promptGuard.check(prompt, id)
   }
 
+  /** Takes an admission of an endpoint that named a limit; without one another endpoint is chosen. */
+  async #isAdmitted (choice: EndpointChoice): Promise<boolean> {
+    const { limiter } = this.#services
+    return !limiter.isLimited(choice.state) || await limiter.admit(choice.state)
+  }
+
+  #noChoiceError (): RouteError {
+    const limitWaitMs = this.#candidates().limitWaitMs()
+    if (limitWaitMs !== undefined) return this.#createError('limit_reached', 'the limits of all endpoints are used up', this.#spread(limitWaitMs))
+    return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
+  }
+
+  /** Spreads the return of callers that are refused together. */
+  #spread (waitMs: number): number {
+    return waitMs + hashString(this.#context.request.id) % RETURN_SPREAD_MS
+  }
+
   /** Cancels an attempt whose answer hasn't begun when a part of its prompt is blocked, before it ends another engine. */
   #onPartsBlocked (parts: ReadonlySet<number>): void {
     const { prompt } = this.#context.request
@@ -333,9 +355,9 @@
   }
 
   /** Creates an error. Once the request may have run, an error with the outcome "not run" becomes one with an unknown outcome. */
-  #createError (code: ErrorCode, detail: string): RouteError {
+  #createError (code: ErrorCode, detail: string, retryAfterMs = RETRY_AFTER_MS): RouteError {
     const peer = this.#attemptLines[this.#attemptLines.length - 1]?.endpoint ?? this.#context.service
-    const error = routeError(code, 'forward', peer, detail, RETRY_AFTER_MS)
+    const error = routeError(code, 'forward', peer, detail, retryAfterMs)
     return this.#mayHaveRun && outcomeOf(error) === 'not-run' ? routeError('response_lost', 'forward', peer, detail) : error
   }
 
--- a/src/platform/NamedLimit.test.ts
+++ b/src/platform/NamedLimit.test.ts
@@ -3,7 +3,7 @@
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, isKnownRed, LIST_INTERVAL_MS, sleep, startGateway, waitUntil, type CallResult, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, LIST_INTERVAL_MS, sleep, startGateway, waitUntil, type CallResult, type RunningGateway } from './TestUtils.test.js'
 
 const GATEWAYS = 5
 const WORKERS = 3
@@ -58,7 +58,7 @@
 })
 
 // Four engines that named a limit got more than half as much again: the field was passed on to callers and not read.
-describe.skipIf(isKnownRed('NamedLimit.test.ts'))('an endpoint that names a limit', () => {
+describe('an endpoint that names a limit', () => {
   it('gets no more than that from all gateways together, and all requests are served by the others', async () => {
     const workers = await startSite()
     workers[0]!.requestsPerSec = LIMIT_PER_SEC
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -94,12 +94,15 @@
   })
 
   it('logs the limit that a worker names in its answers, when it changes', async () => {
-    workers.forEach(w => { w.requestsPerSec = 2.6 })
-    for (let i = 0; i < 4; i++) await call(first.port, '/write/1')
+    workers.forEach(w => { w.requestsPerSec = 260 })
+    await call(first.port, '/write/1')
     workers.forEach(w => { w.requestsPerSec = undefined })
-    for (let i = 0; i < 4; i++) await call(first.port, '/write/1')
+    for (let i = 0; i < 6; i++) {
+      await sleep(20)
+      await call(first.port, '/write/1')
+    }
     const named = logLines.filter(line => line.msg === 'endpoint named another limit').map(line => line.requestsPerSec)
-    expect([named.slice(0, 1), named.slice(-1)]).toEqual([[2.6], [null]])
+    expect([named.slice(0, 1), named.slice(-1)]).toEqual([[260], [null]])
   })
 
   it('ends a call without a response at its deadline', async () => {
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -2,7 +2,7 @@
 import { timingSafeEqual } from 'node:crypto'
 import { decode, encode } from '@msgpack/msgpack'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, CrashDatagram, HolderDatagram, InstanceDigest, MemberRumour, GossipDatagram, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
+import type { AllowanceDatagram, CrashDatagram, GossipDatagram, GossipedLimit, HolderDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
 import { checkPeerDatagram, formatErrors } from '../../common/Schema.js'
 import { hmac } from './Crypto.js'
 
@@ -69,18 +69,27 @@
 
 function gossipRow (kind: number, d: GossipDatagram): Row {
   const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_SCALE), Math.round(l.ended * COUNT_SCALE)])
-  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads]
+  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads, d.limits.flatMap(l => [l.endpoint, l.requestsPerSec, l.ageMs])]
 }
 
 function gossipOf (row: Row): GossipDatagram {
-  const [, id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, flat] = row
+  const [, id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, flat, flatLimits] = row
   const numbers = flat as readonly number[]
   const loads = []
   for (let i = 0; i + 4 < numbers.length; i += 5) {
     const [endpoint, requests, ageMs, failed, ended] = numbers.slice(i, i + 5)
     loads.push({ endpoint: endpoint!, requests: requests!, ageMs: ageMs!, failed: failed! / COUNT_SCALE, ended: ended! / COUNT_SCALE })
   }
-  return { kind: 'news', id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, loads } as GossipDatagram
+  return { kind: 'news', id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, loads, limits: limitsOf(flatLimits as readonly number[]) } as GossipDatagram
+}
+
+function limitsOf (flat: readonly number[]): GossipedLimit[] {
+  const limits = []
+  for (let i = 0; i + 2 < flat.length; i += 3) {
+    const [endpoint, requestsPerSec, ageMs] = flat.slice(i, i + 3)
+    limits.push({ endpoint: endpoint!, requestsPerSec: requestsPerSec!, ageMs: ageMs! })
+  }
+  return limits
 }
 
 function digestOf (row: Row): InstanceDigest {
