--- a/src/bench/FleetBench.ts
+++ b/src/bench/FleetBench.ts
@@ -4,6 +4,7 @@
 import type { GossipDatagram, GossipedLoad, PeerDatagram } from '../common/generated/PeerDatagram.js'
 import { hashString } from '../common/Hash.js'
 import { Membership } from '../common/membership/Membership.js'
+import { PartEvidence } from '../common/routing/PartEvidence.js'
 import { placePrompt, type PromptKey } from '../common/routing/PromptPlacement.js'
 import type { Endpoint } from '../common/routing/Types.js'
 import { SeededRandom } from '../common/SeededRandom.js'
@@ -15,6 +16,8 @@
 const SERVICE = 'engines'
 const DATA_CENTRES = 5
 const REPORTS = 48 // reports in one gossip datagram
+const CRASHES = 64 // crashes in one datagram of evidence
+const KNOWN_PARTS = 512
 const SEED = 1
 const WARM_UP_CALLS = 30
 const MIN_CALLS = 60
@@ -48,6 +51,9 @@
   /** Encoding and decoding one gossip datagram of 48 reports. */
   readonly encodeGossipUs: number
   readonly decodeGossipUs: number
+  /** Judging a prompt of three parts, and joining a datagram of 64 crashes that are news, when 512 parts are known. */
+  readonly judgePromptUs: number
+  readonly joinCrashesUs: number
 }
 
 /** One gateway's state in a fleet with traffic everywhere. */
@@ -145,6 +151,8 @@
   const gossip: GossipDatagram = { kind: 'news', id: '10.0.0.1', configRevision: 1, listRevision: 1, listDigest: 1, ...ages, loads: batches[0]!, limits: [] }
   const encoded = codec.encode(gossip)
   const first = fleet.pool.candidates(SERVICE).rank(1, 1)[0] as PooledEndpoint
+  const evidence = new PartEvidence()
+  for (let i = 0; i < KNOWN_PARTS; i++) evidence.recordCrash([i], i, 0, fleet.now)
   return {
     ...size,
     mergeReportsUs: await measureUs(() => {
@@ -163,6 +171,11 @@
     candidatesUs: await measureUs(() => fleet.pool.candidates(SERVICE)),
     recordOutcomeUs: await measureUs(() => fleet.pool.recordOutcome(first, 'answered', 'r')),
     encodeGossipUs: await measureUs(() => codec.encode(gossip)),
-    decodeGossipUs: await measureUs(() => codec.decode(encoded))
+    decodeGossipUs: await measureUs(() => codec.decode(encoded)),
+    judgePromptUs: await measureUs(() => evidence.judge([1, 2, 3])),
+    joinCrashesUs: await measureUs(() => {
+      const call = fleet.advance(DATAGRAM_INTERVAL_MS)
+      evidence.merge(Array.from({ length: CRASHES }, (_, i) => ({ part: i, endpoint: call, ageMs: 0, refuted: false })), fleet.now)
+    })
   }
 }
--- a/src/common/routing/PartEvidence.test.ts
+++ b/src/common/routing/PartEvidence.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check'
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import type { PartCrash } from '../generated/PeerDatagram.js'
 import { SeededRandom } from '../SeededRandom.js'
 import { TrialLeases } from '../limits/TrialLeases.js'
@@ -90,6 +90,21 @@
   })
 })
 
+describe('PartEvidence, in a fleet where many engines have ended', () => {
+  it('takes in a report at a cost that does not depend on the number of parts that are known', () => {
+    const costs = [10, 500].map(known => {
+      const evidence = new PartEvidence()
+      for (let i = 0; i < known; i++) evidence.recordCrash([1_000 + i], i, 0, 0)
+      const sort = vi.spyOn(Array.prototype, 'sort') // called once for each part that is summed up
+      evidence.recordCrash([FATAL, 1], 7_777, 0, 10)
+      const calls = sort.mock.calls.length
+      sort.mockRestore()
+      return calls
+    })
+    expect(costs).toEqual([2, 2])
+  })
+})
+
 interface SimulatedAnswer {
   readonly parts: readonly number[]
   readonly beginsAt: number
--- a/src/common/routing/PartEvidence.ts
+++ b/src/common/routing/PartEvidence.ts
@@ -18,6 +18,8 @@
 const REFUTED_TTL_MS = 120_000 // a refutation is kept for as long as older evidence may still arrive
 const CRASH_TTL_MS = 600_000 // an earlier crash is no evidence, unless the part is blocked
 const MAX_PARTS = 512
+const ROOM_FOR_PARTS = 64 // made when there are more
+const EXPIRY_INTERVAL_MS = 1_000
 const MAX_CRASHES = 16 // of one part
 
 /** How far a part may be used: `suspect` by one request at a time in the fleet, `blocked` only by rare trials. */
@@ -43,8 +45,9 @@
 /** Crashes of one part by the hash of the endpoint's incarnation. */
 type Crashes = Map<number, Crash>
 
-interface Judgement {
-  readonly state: PartState
+interface Charge {
+  /** Endpoints whose crashes weren't refuted. */
+  readonly endpoints: ReadonlySet<number>
   /** Crashes at different times that weren't refuted. */
   readonly episodes: number
   readonly lastAt: number
@@ -52,8 +55,13 @@
 
 export class PartEvidence {
   readonly #parts = new Map<number, Crashes>()
-  #judgements = new Map<number, Judgement>()
+  /** What is held against each part by itself. */
+  readonly #charges = new Map<number, Charge>()
+  /** Parts with enough crashes to be suspect; few, so that they may be compared with each other. */
+  readonly #grave = new Set<number>()
+  #states: ReadonlyMap<number, PartState> = new Map()
   #blocked: ReadonlySet<number> = new Set()
+  #expiredAt = -Infinity
 
   /** True when there is no evidence against any part. */
   get isEmpty (): boolean {
@@ -72,7 +80,8 @@
       .filter(p => this.#stateOf(p) !== 'sound')
       .reduce<number | undefined>((a, b) => a === undefined || this.#episodesOf(b) >= this.#episodesOf(a) ? b : a, undefined)
     if (part === undefined) return undefined
-    const { state, episodes, lastAt } = this.#judgements.get(part)!
+    const state = this.#stateOf(part)
+    const { episodes, lastAt } = this.#charges.get(part)!
     const failedTrials = episodes - BLOCKED_EPISODES
     const nextTrialAt = lastAt + Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * TRIAL_BACKOFF ** failedTrials)
     return state === 'blocked' && !this.#separates(part, parts) ? { part, state, episodes, nextTrialAt } : { part, state: 'suspect', episodes, nextTrialAt: -Infinity }
@@ -96,8 +105,9 @@
   merge (reports: readonly PartCrash[], now: number): PartCrash[] {
     const news = reports.filter(report => this.#join(report, now))
     if (news.length === 0) return news
+    for (const { part } of news) this.#charge(part)
     this.#expire(now)
-    this.#judge()
+    this.#compare()
     return news
   }
 
@@ -126,60 +136,81 @@
   }
 
   #expire (now: number): void {
+    if (this.#parts.size <= MAX_PARTS && now - this.#expiredAt < EXPIRY_INTERVAL_MS) return
+    this.#expiredAt = now
     for (const [part, crashes] of this.#parts) {
-      const isBlocked = this.#stateOf(part) === 'blocked'
+      const before = crashes.size
       for (const [endpoint, crash] of crashes) {
-        const ttlMs = crash.refuted ? REFUTED_TTL_MS : isBlocked ? CRASH_TTL_MS + MAX_TRIAL_MS : CRASH_TTL_MS
-        if (now - crash.at > ttlMs) crashes.delete(endpoint)
+        if (now - crash.at > this.#ttlMs(part, crash)) crashes.delete(endpoint)
       }
-      if (crashes.size === 0) this.#parts.delete(part)
+      if (crashes.size !== before) this.#charge(part)
     }
     if (this.#parts.size > MAX_PARTS) this.#dropLeastGrave()
   }
 
+  #ttlMs (part: number, { refuted }: Crash): number {
+    if (refuted) return REFUTED_TTL_MS
+    return this.#blocked.has(part) ? CRASH_TTL_MS + MAX_TRIAL_MS : CRASH_TTL_MS
+  }
+
+  /** Drops parts until there is room for some more: those with the fewest crashes first, the oldest of them. */
   #dropLeastGrave (): void {
-    const least = [...this.#parts.keys()].reduce((a, b) => this.#episodesOf(b) < this.#episodesOf(a) ? b : a)
-    this.#parts.delete(least)
+    const parts = [...this.#parts.keys()].sort((a, b) => this.#episodesOf(a) - this.#episodesOf(b))
+    for (const part of parts.slice(0, parts.length - MAX_PARTS + ROOM_FOR_PARTS)) {
+      this.#parts.get(part)!.clear()
+      this.#charge(part)
+    }
   }
 
-  #judge (): void {
-    const judgements = new Map<number, Judgement>()
-    for (const [part, crashes] of this.#parts) {
-      const times = [...crashes.values()].filter(c => !c.refuted).map(c => c.at).sort((a, b) => a - b)
-      const episodes = countEpisodes(times)
-      const state = episodes >= BLOCKED_EPISODES ? 'blocked' : episodes >= SUSPECT_EPISODES ? 'suspect' : 'sound'
-      judgements.set(part, { state, episodes, lastAt: times[times.length - 1] ?? -Infinity })
+  /** Sums up what is held against a part; forgets a part without crashes. */
+  #charge (part: number): void {
+    const crashes = this.#parts.get(part)!
+    const unrefuted = [...crashes].filter(([, crash]) => !crash.refuted)
+    const times = unrefuted.map(([, crash]) => crash.at).sort((a, b) => a - b)
+    const episodes = countEpisodes(times)
+    if (crashes.size === 0) {
+      this.#parts.delete(part)
+      this.#charges.delete(part)
+    } else {
+      this.#charges.set(part, { endpoints: new Set(unrefuted.map(([endpoint]) => endpoint)), episodes, lastAt: times[times.length - 1] ?? -Infinity })
     }
-    const blocked = [...judgements].filter(([, j]) => j.state === 'blocked').map(([part]) => part)
-    for (const [part, j] of judgements) {
-      if (j.state !== 'sound' && blocked.some(other => this.#explains(other, part))) judgements.set(part, { ...j, state: 'sound' })
+    if (episodes >= SUSPECT_EPISODES) this.#grave.add(part)
+    else this.#grave.delete(part)
+  }
+
+  /** Decides on the grave parts, beside each other. */
+  #compare (): void {
+    const blocked = new Set([...this.#grave].filter(part => this.#episodesOf(part) >= BLOCKED_EPISODES))
+    const states = new Map<number, PartState>()
+    for (const part of this.#grave) {
+      if (![...blocked].some(other => this.#explains(other, part))) states.set(part, blocked.has(part) ? 'blocked' : 'suspect')
     }
-    this.#judgements = judgements
-    this.#blocked = new Set([...judgements].filter(([, j]) => j.state === 'blocked').map(([part]) => part))
+    this.#states = states
+    this.#blocked = new Set([...blocked].filter(part => states.has(part)))
   }
 
   /** True when a prompt with these parts would tell `part` from another one that was in just the same crashes, and isn't in this prompt. */
   #separates (part: number, parts: readonly number[]): boolean {
-    const own = this.#unrefuted(part)
-    return [...this.#blocked].some(other => !parts.includes(other) && isSameSet(own, this.#unrefuted(other)))
+    const own = this.#endpointsOf(part)
+    return [...this.#blocked].some(other => !parts.includes(other) && isSameSet(own, this.#endpointsOf(other)))
   }
 
   #stateOf (part: number): PartState {
-    return this.#judgements.get(part)?.state ?? 'sound'
+    return this.#states.get(part) ?? 'sound'
   }
 
   #episodesOf (part: number): number {
-    return this.#judgements.get(part)?.episodes ?? 0
+    return this.#charges.get(part)?.episodes ?? 0
   }
 
   /** True when all crashes of `part` happened with answers on `other` too, and more did: its answers were beside those on `other`. */
   #explains (other: number, part: number): boolean {
-    const [own, others] = [this.#unrefuted(part), this.#unrefuted(other)]
+    const [own, others] = [this.#endpointsOf(part), this.#endpointsOf(other)]
     return others.size > own.size && [...own].every(endpoint => others.has(endpoint))
   }
 
-  #unrefuted (part: number): Set<number> {
-    return new Set([...this.#parts.get(part) ?? []].filter(([, crash]) => !crash.refuted).map(([endpoint]) => endpoint))
+  #endpointsOf (part: number): ReadonlySet<number> {
+    return this.#charges.get(part)!.endpoints
   }
 }
 
--- a/src/gateway/CrashGossipTask.ts
+++ b/src/gateway/CrashGossipTask.ts
@@ -47,8 +47,7 @@
 
   /** True once the evidence of the peers was learned, or there is nobody to learn it from. */
   get isComplete (): boolean {
-    if (!this.#complete && this.#clock.nowMs() - this.#startedAt > MAX_ASK_MS) this.#complete = true
-    return this.#complete
+    return this.#complete || this.#clock.nowMs() - this.#startedAt > MAX_ASK_MS
   }
 
   /** Starts to exchange evidence; the peers' socket must be bound. */
