Log how the end of each answer is marked, and the events before it

The hypotheses of the broken answer couldn't be told apart from the logs: no line named the framing of the endpoint's answer or of the response to the caller. Test: RequestPath, 'log how the end of each answer is marked'.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -5,6 +5,7 @@
 import { EndpointExchange, type ExchangeFailure, type ExchangeRequest, type IExchangeSink } from './EndpointExchange.js'
 import type { EventStream } from './EventStream.js'
 import { InputTimeout } from './InputTimeout.js'
+import type { AnswerLine } from './RequestLog.js'
 import type { HeaderList, ResponseHead } from './Types.js'
 
 const MAX_BUFFERED_BYTES = 1_048_576 // a larger response is forwarded as it arrives
@@ -61,6 +62,7 @@
   constructor (agent: EndpointAgent, call: ExchangeRequest, response: CallerResponse, options: AttemptOptions) {
     this.#response = response
     this.#options = options
+    options.eventStream?.beginRun()
     this.result = new Promise(resolve => { this.#resolve = resolve })
     this.#exchange = new EndpointExchange(agent, call, this)
     this.#lateTimer = setTimeout(() => options.onLate(), options.lateThresholdMs)
@@ -78,6 +80,15 @@
     return this.#answerBeganAt !== undefined && !this.#matured
   }
 
+  /** Log fields of the answer. */
+  get answerLine (): AnswerLine {
+    const { framing } = this.#exchange
+    const { eventStream } = this.#options
+    if (framing === undefined || this.#answerBeganAt === undefined) return {}
+    const stream = eventStream === undefined ? {} : { events: eventStream.runEvents, partialEvent: eventStream.hasPartialEvent }
+    return { answerMs: Math.round(performance.now() - this.#answerBeganAt), framing, ...stream }
+  }
+
   /** Cancels the attempt. */
   stop (): void {
     this.#settle({ kind: 'stopped', sent: this.#exchange.sent })
@@ -129,7 +140,7 @@
   #endedEarly (): boolean {
     const { eventStream } = this.#options
     if (eventStream === undefined) return false
-    return eventStream.hasPartialEvent || (this.#exchange.isCloseDelimited && !eventStream.hasEvents)
+    return eventStream.hasPartialEvent || (this.#exchange.framing === 'connection' && !eventStream.hasEvents)
   }
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
--- a/src/gateway/CallerResponse.ts
+++ b/src/gateway/CallerResponse.ts
@@ -1,6 +1,8 @@
 /** The response to one caller: sent once, aborted rather than ended when incomplete, with a listener for the caller's disconnect. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { ERROR_CODES, errorBody, type RouteError } from '../common/Errors.js'
+import { framingOf, type AnswerFraming } from '../common/http/AnswerFraming.js'
+import type { ResponseLine } from './RequestLog.js'
 import type { HeaderList } from './Types.js'
 
 export class CallerResponse {
@@ -9,6 +11,8 @@
   readonly #isDraining: () => boolean
   #disconnectListener: (() => void) | undefined
   #drainListener: (() => void) | undefined
+  /** How the end of the response is marked; undefined before its head was sent. */
+  #framing: AnswerFraming | undefined
 
   /** @param isDraining true when this instance is stopping: the response closes its connection, so that the caller opens another. */
   constructor (req: IncomingMessage, res: ServerResponse, isDraining: () => boolean) {
@@ -33,6 +37,11 @@
     return this.#res.headersSent ? this.#res.statusCode : 0
   }
 
+  /** Log fields of the response; undefined before its head was sent. */
+  get line (): ResponseLine | undefined {
+    return this.#framing === undefined ? undefined : { framing: this.#framing, whole: this.#res.writableEnded && !this.disconnected }
+  }
+
   /** Sets the listener that is called when the caller disconnects before the end of the response. */
   onDisconnect (listener: () => void): void {
     this.#disconnectListener = listener
@@ -47,6 +56,8 @@
   writeHead (status: number, headers: HeaderList): void {
     this.#res.writeHead(status, this.#withConnectionHeader(headers))
     this.#res.flushHeaders()
+    const transferEncoding = this.#res.chunkedEncoding ? 'chunked' : undefined
+    this.#framing = framingOf({ method: this.#req.method ?? '', status, contentLength: undefined, transferEncoding })
   }
 
   /** Writes a part of the body; returns false on backpressure, when the caller reads more slowly than data arrives. */
@@ -68,6 +79,7 @@
     if (this.disconnected) return
     this.#res.writeHead(status, this.#withConnectionHeader([...headers, 'Content-Length', String(body.length)]))
     this.#res.end(body)
+    this.#framing = 'length'
   }
 
   /** Sends an error of the gateway; if a response has started, its connection is destroyed instead. */
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -1,6 +1,7 @@
 /** One HTTP request to one endpoint; tracks whether bytes of it can have reached the endpoint. */
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { framingOf, type AnswerFraming } from '../common/http/AnswerFraming.js'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { InputTimeout } from './InputTimeout.js'
 import type { HeaderList } from './Types.js'
@@ -35,6 +36,7 @@
   #connectTimeout: InputTimeout | undefined
   #sent = false
   #settled = false
+  #framing: AnswerFraming | undefined
   #failure: ExchangeFailure = 'connect'
 
   constructor (agent: EndpointAgent, call: ExchangeRequest, sink: IExchangeSink) {
@@ -54,9 +56,9 @@
     return this.#sent
   }
 
-  /** True for an answer without a length, which ends when its connection closes. */
-  get isCloseDelimited (): boolean {
-    return this.#res !== undefined && isCloseDelimited(this.#res)
+  /** How the end of the answer is marked; undefined before its head. */
+  get framing (): AnswerFraming | undefined {
+    return this.#framing
   }
 
   /** Aborts the exchange and destroys its connection. */
@@ -100,7 +102,13 @@
       return
     }
     this.#res = res
-    if (isCloseDelimited(res)) res.socket.prependListener('end', () => this.#onConnectionEnd(res.socket))
+    this.#framing = framingOf({
+      method: this.#req.method,
+      status: res.statusCode ?? 0,
+      contentLength: res.headers['content-length'],
+      transferEncoding: res.headers['transfer-encoding']
+    })
+    if (this.#framing === 'connection') res.socket.prependListener('end', () => this.#onConnectionEnd(res.socket))
     res.on('data', (chunk: Buffer) => { if (!this.#settled) this.#sink.onData(chunk) })
     res.on('error', e => this.#fail(e.message))
     res.on('aborted', () => this.#fail('answer broke off'))
@@ -131,8 +139,3 @@
     this.#req.destroy()
   }
 }
-
-/** True for a response without a length, which ends when its connection closes. */
-function isCloseDelimited (res: IncomingMessage): boolean {
-  return res.headers['content-length'] === undefined && res.headers['transfer-encoding'] === undefined
-}
--- a/src/gateway/EventStream.ts
+++ b/src/gateway/EventStream.ts
@@ -9,6 +9,7 @@
   #lastId: string | undefined
   #passedOn = false
   #hasNewEvent = false
+  #runEvents = 0
 
   /** @param resumable true when the route allows another endpoint to go on after the last event; ids are tracked only then. */
   constructor (resumable: boolean) {
@@ -40,14 +41,25 @@
     return this.#passedOn
   }
 
+  /** Complete events that the current run sent. */
+  get runEvents (): number {
+    return this.#runEvents
+  }
+
   /** True when an incomplete event is buffered. */
   get hasPartialEvent (): boolean {
     return this.#framer.pendingBytes > 0
   }
 
+  /** Begins with the answer of another endpoint. */
+  beginRun (): void {
+    this.#runEvents = 0
+  }
+
   /** Adds received bytes and returns the events that they complete. */
   push (chunk: Uint8Array): Uint8Array {
-    const { bytes } = this.#framer.push(chunk)
+    const { bytes, events } = this.#framer.push(chunk)
+    this.#runEvents += events
     const before = this.#lastId
     this.#hasNewEvent = false
     if (bytes.length === 0) return bytes
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -13,7 +13,7 @@
 import { EndpointSelector, type SelectorServices } from './EndpointSelector.js'
 import { EventStream } from './EventStream.js'
 import type { PromptGuard } from './PromptGuard.js'
-import type { AttemptLine, RequestLog } from './RequestLog.js'
+import type { AnswerLine, AttemptLine, RequestLog } from './RequestLog.js'
 import type { HeaderList, IRequestCodec, ResponseHead, RoutedRequest } from './Types.js'
 
 const CONNECT_TIMEOUT_MS = 150 // far above a round trip between data centres; a retry at another endpoint loses nothing, as nothing was sent
@@ -158,7 +158,7 @@
     const now = clock.nowMs()
     this.#currentAttempt = undefined
     this.#recordPromptOutcome(state, result, attempt.isYoungAnswer)
-    this.#recordAttempt(choice, result, now - startedAt, attempt.answerBeganAt === undefined ? undefined : now - attempt.answerBeganAt)
+    this.#recordAttempt(choice, result, now - startedAt, attempt.answerLine)
     return result
   }
 
@@ -200,12 +200,10 @@
     return head
   }
 
-  /** @param answerMs time since the answer began; undefined when it didn't. */
-  #recordAttempt (choice: EndpointChoice, result: AttemptResult, ms: number, answerMs: number | undefined): void {
+  #recordAttempt (choice: EndpointChoice, result: AttemptResult, ms: number, answer: AnswerLine): void {
     const endpoint = choice.state.endpoint.id
     const load = Math.round(choice.load * 10) / 10
     const detail = 'detail' in result ? { detail: result.detail } : {}
-    const answer = answerMs === undefined ? {} : { answerMs: Math.round(answerMs) }
     this.#attemptLines.push({ endpoint, reason: choice.reason, load, result: result.kind, ...detail, ...answer, ms: Math.round(ms) })
     this.#closedEarly ||= wasClosedEarly(result)
     this.#services.metrics.attempts.inc({ service: this.#context.service, result: result.kind })
@@ -325,6 +323,7 @@
       ...this.#closedEarly && request.prompt !== undefined ? { parts: sharedParts(request.prompt).slice(0, MAX_LOGGED_PARTS).map(part => part.id) } : {},
       attempts: this.#attemptLines,
       status,
+      ...this.#response.line === undefined ? {} : { response: this.#response.line },
       code: error?.code ?? '',
       ms: Math.round(ms)
     })
--- a/src/gateway/RequestLog.ts
+++ b/src/gateway/RequestLog.ts
@@ -1,5 +1,6 @@
 /** Logs one line per request, rate limited; the number of omitted lines is logged with the next line. */
 import type { ErrorCode, Step } from '../common/Errors.js'
+import type { AnswerFraming } from '../common/http/AnswerFraming.js'
 import { TokenBucket } from '../common/limits/TokenBucket.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -7,15 +8,31 @@
 const LINES_PER_SEC = 40
 const BURST_LINES = 200
 
+/** Log fields of the answer that an attempt received; empty when none began. */
+export interface AnswerLine {
+  /** Time from the first byte of the answer to its end. */
+  readonly answerMs?: number
+  readonly framing?: AnswerFraming
+  /** Complete events of a stream. */
+  readonly events?: number
+  /** True when bytes of an incomplete event followed them. */
+  readonly partialEvent?: boolean
+}
+
+/** Log fields of the response to the caller. */
+export interface ResponseLine {
+  readonly framing: AnswerFraming
+  /** False when the response was aborted, or the caller left before its end. */
+  readonly whole: boolean
+}
+
 /** Log fields of one attempt. */
-export interface AttemptLine {
+export interface AttemptLine extends AnswerLine {
   readonly endpoint: string
   readonly reason: string
   readonly load: number
   readonly result: string
   readonly detail?: string
-  /** Time from the first byte of the answer to its end; absent when none arrived. */
-  readonly answerMs?: number
   readonly ms: number
 }
 
@@ -44,6 +61,8 @@
   readonly parts?: readonly string[]
   readonly attempts: readonly AttemptLine[]
   readonly status: number
+  /** Absent when no response was sent. */
+  readonly response?: ResponseLine
   /** Error code of the gateway; empty when an endpoint's response was forwarded. */
   readonly code: string
   readonly ms: number
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -175,6 +175,18 @@
     expect([line.parts, line.attempts]).toEqual([['aa', 'bb'], [expect.objectContaining({ result: 'broken', answerMs: expect.any(Number) })]])
   })
 
+  // Logs couldn't tell which answers had no length, nor how many events had come when one ended.
+  it('log how the end of each answer is marked, and the events before it', async () => {
+    await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed')
+    await call(first.port, '/stream/1', PROMPT)
+    const requestLines = (): LogLine[] => logLines.filter(line => line.attempts !== undefined)
+    await waitUntil(() => requestLines().length === 2)
+    expect(requestLines().map(({ attempts, response }) => ({ attempts, response }))).toMatchObject([
+      { attempts: [{ result: 'streamed', framing: 'chunked', events: 4, partialEvent: false }], response: { framing: 'chunked', whole: true } },
+      { attempts: [{ result: 'broken', framing: 'connection', events: 1, partialEvent: true }], response: { framing: 'chunked', whole: false } }
+    ])
+  })
+
   it('are cancelled at the worker when the caller disconnects', async () => {
     workers.forEach(w => { w.mode = 'mute' })
     const headers = { host: 'a.example', 'attempt-id': 'r', 'deadline-ms': '3000', authorization: 'Bearer k1', ...PROMPT }
