Count the events of each run when a resumed stream ends without a mark

A stream that broke off and was resumed at an endpoint whose answer, without length or chunks, ended before its first event was ended as complete: the events of the first run counted for the second. Events are now counted by run, and an attempt begins its run itself, which also drops the incomplete event of the one before (in place of a call of the forwarder after each broken attempt). Test: BrokenAnswer, 'is aborted when the endpoint that resumes a stream ends before its first event'; it failed before.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -163,7 +163,7 @@
   #endedEarly (): boolean {
     const { eventStream } = this.#options
     if (eventStream === undefined) return false
-    return eventStream.hasPartialEvent || (this.#exchange.framing === 'connection' && !eventStream.hasEvents)
+    return eventStream.hasPartialEvent || (this.#exchange.framing === 'connection' && eventStream.runEvents === 0)
   }
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
--- a/src/gateway/EventStream.ts
+++ b/src/gateway/EventStream.ts
@@ -36,11 +36,6 @@
     return this.#framer.isOversized
   }
 
-  /** True once an event was passed on. */
-  get hasEvents (): boolean {
-    return this.#passedOn
-  }
-
   /** Complete events that the current run sent. */
   get runEvents (): number {
     return this.#runEvents
@@ -51,9 +46,10 @@
     return this.#framer.pendingBytes > 0
   }
 
-  /** Begins with the answer of another endpoint. */
+  /** Begins with the answer of another endpoint, which sends an incomplete event again from its start. */
   beginRun (): void {
     this.#runEvents = 0
+    this.#framer.reset()
   }
 
   /** Adds received bytes and returns the events that they complete. */
@@ -72,9 +68,4 @@
   #trackIds (bytes: Uint8Array): void {
     for (const match of Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('latin1').matchAll(ID_LINE)) this.#lastId = match[1]!.trim()
   }
-
-  /** Discards an incomplete event: the endpoint that resumes the stream sends it again from its start. */
-  discardPartialEvent (): void {
-    this.#framer.reset()
-  }
 }
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -244,7 +244,6 @@
       case 'broken':
         this.#executedAttempts++
         recordOutcome('broken')
-        this.#eventStream?.discardPartialEvent()
         return this.#eventStream?.canResume === true && this.#mayRetry() ? 'again' : this.#createError('response_lost', result.detail)
       case 'stopped':
         this.#mayHaveRun ||= result.sent
--- a/src/platform/BrokenAnswer.test.ts
+++ b/src/platform/BrokenAnswer.test.ts
@@ -97,4 +97,12 @@
     const answer = await pending
     expect([answer.status, answer.complete, answer.body]).toEqual([200, true, EVENTS.join('')])
   })
+
+  // The events of the first run counted for the second one, so that its empty answer looked whole.
+  it('is aborted when the endpoint that resumes a stream ends before its first event', async () => {
+    const first = await setModeOfFirstWorker('/stream/again/1', PROMPT, 'tearing')
+    workers.find(w => w !== first)!.mode = 'unframed head'
+    const answer = await call(gateway.port, '/stream/again/1', PROMPT)
+    expect([answer.status, answer.complete, answer.body]).toEqual([200, false, EVENTS[0]])
+  })
 })
