Find the last event of an unmarked stream on any route

A route that isn't a streaming one may answer with server-sent events. Without length or chunks, one that ended within an event was passed on as whole, as only streaming routes looked at events. The media type of the answer decides now; the body goes on unchanged. An event without an end is broken off, as on streaming routes, so that it can't fill the memory. Test: BrokenAnswer, 'is reported as lost when it ends within an event on a route that isn't a streaming one'; it failed before (200).

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at one endpoint: forwards a stream as it arrives, buffers any other response until it is complete. */
 import type { AnswerEnd } from '../common/http/AnswerFraming.js'
 import { YOUNG_ANSWER_MS } from '../common/routing/PartEvidence.js'
+import { SseFramer } from '../common/sse/SseFramer.js'
 import type { CallerResponse } from './CallerResponse.js'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { EndpointExchange, type ExchangeFailure, type ExchangeRequest, type IExchangeSink } from './EndpointExchange.js'
@@ -58,6 +59,8 @@
   #bodyBeganAt: number | undefined
   #matured = false
   #settled = false
+  /** Finds the end of events that are passed on unchanged, where nothing else marks the end of the answer. */
+  #unmarkedEvents: SseFramer | undefined
   readonly #idleTimeout: InputTimeout | undefined
   readonly #lateTimer: NodeJS.Timeout
   #resolve!: (result: AttemptResult) => void
@@ -109,10 +112,16 @@
       return
     }
     if (this.#options.streaming && status >= 200 && status < 300) this.#startStreaming()
+    else if (head.isEventStream && this.#exchange.framing === 'connection') this.#unmarkedEvents = new SseFramer()
   }
 
   onData (chunk: Buffer): void {
     this.#checkAge()
+    this.#unmarkedEvents?.push(chunk)
+    if (this.#unmarkedEvents?.isOversized === true) {
+      this.#settleBrokenOff('event without an end')
+      return
+    }
     if (this.#streaming) {
       this.#write(chunk)
       return
@@ -128,7 +137,7 @@
     const head = this.#head!
     if (!this.#streaming && head.notRun) {
       this.#settle({ kind: 'not-run', by: head.misdirected ? 'other-endpoint' : 'endpoint', detail: `status ${head.status}` })
-    } else if (this.#streaming && this.#endedEarly()) {
+    } else if (this.#endedEarly()) {
       this.#settleBrokenOff('stream ended within an event or before the first')
     } else if (end === 'whole') {
       this.#finish(head)
@@ -161,8 +170,9 @@
 
   /** True for a stream that can't be whole, though its connection ended normally. */
   #endedEarly (): boolean {
+    if (this.#unmarkedEvents !== undefined) return this.#unmarkedEvents.pendingBytes > 0
     const { eventStream } = this.#options
-    if (eventStream === undefined) return false
+    if (eventStream === undefined || !this.#streaming) return false
     return eventStream.hasPartialEvent || (this.#exchange.framing === 'connection' && eventStream.runEvents === 0)
   }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -54,6 +54,8 @@
   readonly notRun: boolean
   /** True when another endpoint answered at the address: the one that was meant is gone. */
   readonly misdirected: boolean
+  /** True when the body is a stream of server-sent events, whatever the route says. */
+  readonly isEventStream: boolean
   readonly load: ReportedLoad | undefined
   /** Requests a second that the endpoint takes from all instances together; undefined when it names no limit. */
   readonly requestsPerSec: number | undefined
--- a/src/platform/BrokenAnswer.test.ts
+++ b/src/platform/BrokenAnswer.test.ts
@@ -105,4 +105,13 @@
     const answer = await call(gateway.port, '/stream/again/1', PROMPT)
     expect([answer.status, answer.complete, answer.body]).toEqual([200, false, EVENTS[0]])
   })
+
+  // Only streaming routes looked at events.
+  it('is reported as lost when it ends within an event on a route that isn\'t a streaming one', async () => {
+    workers.forEach(w => {
+      w.mode = 'unframed whole'
+      w.mediaType = 'text/event-stream; charset=utf-8'
+    })
+    expect((await call(gateway.port, '/write/1')).status).toBe(502)
+  })
 })
--- a/src/platform/RequestCodec.ts
+++ b/src/platform/RequestCodec.ts
@@ -103,6 +103,7 @@
       trusted: matchesRequest && unencoded && (signed || !success),
       notRun: misdirected || (matchesRequest && getHeader(headers, HEADER.notRun) !== undefined),
       misdirected,
+      isEventStream: /^text\/event-stream\s*(;|$)/i.test(getHeader(headers, 'content-type') ?? ''),
       load: parseLoad(getHeader(headers, HEADER.load)),
       requestsPerSec: parseRate(getHeader(headers, HEADER.requestLimit)),
       passHeaders: omitHeaders(headers, NO_HEADERS)
