Reset the connection of a caller without chunks when its response is broken off

To a caller of HTTP/1.0 the gateway can't send chunks, so that the close of the connection is the end of the response. When the gateway gave a response up, or stopped, it closed the connection normally: the caller got a short answer that was complete to it. From the head of such a response on, any close of its connection is a reset, until the response has ended. Node's resetAndDestroy doesn't do: it ends the writable side first. Ruled out: to buffer streams for such callers and send a length, as events are to be passed on as they come. What remains: a process that is killed closes them normally.

--- a/src/gateway/CallerResponse.ts
+++ b/src/gateway/CallerResponse.ts
@@ -3,6 +3,7 @@
 import { ERROR_CODES, errorBody, type RouteError } from '../common/Errors.js'
 import { framingOf, type AnswerFraming } from '../common/http/AnswerFraming.js'
 import type { ResponseLine } from './RequestLog.js'
+import { setResetOnClose } from './ResetOnClose.js'
 import type { HeaderList } from './Types.js'
 
 export class CallerResponse {
@@ -58,6 +59,7 @@
     this.#res.flushHeaders()
     const transferEncoding = this.#res.chunkedEncoding ? 'chunked' : undefined
     this.#framing = framingOf({ method: this.#req.method ?? '', status, contentLength: undefined, transferEncoding })
+    if (this.#framing === 'connection') setResetOnClose(this.#req.socket, true)
   }
 
   /** Writes a part of the body; returns false on backpressure, when the caller reads more slowly than data arrives. */
@@ -66,6 +68,7 @@
   }
 
   end (): void {
+    if (this.#framing === 'connection') setResetOnClose(this.#req.socket, false)
     this.#res.end()
   }
 
--- a/src/platform/BrokenAnswer.test.ts
+++ b/src/platform/BrokenAnswer.test.ts
@@ -1,12 +1,14 @@
 /** End-to-end tests on loopback of answers that are broken off where nothing marks their end. */
+import { connect } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker, type WorkerMode } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, sleep, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
 
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 const EVENTS = [1, 2, 3, 4].map(i => `id: ${i}\ndata: token${i}\n\n`)
+const PROPAGATION_MS = 50
 const LARGE_ANSWER_BYTES = 3_000_000 // more than a gateway buffers
 
 let store: PlatformStore
@@ -24,6 +26,19 @@
   return served
 }
 
+/** Sends a request as a caller of HTTP/1.0, to which no chunks can be sent; returns the body and how the connection ended. */
+async function callWithHttp10 (path: string): Promise<{ readonly body: string, readonly end: 'closed' | 'reset' }> {
+  const headers = ['Host: a.example', 'Attempt-Id: r10', 'Deadline-Ms: 3000', 'Authorization: Bearer k1', 'Content-Length: 0', ...Object.entries(PROMPT).map(h => h.join(': '))]
+  return await new Promise(resolve => {
+    let text = ''
+    const socket = connect(gateway.port, '127.0.0.1', () => socket.write(`POST ${path} HTTP/1.0\r\n${headers.join('\r\n')}\r\n\r\n`))
+    const end = (how: 'closed' | 'reset') => (): void => resolve({ body: text.split('\r\n\r\n').slice(1).join('\r\n\r\n'), end: how })
+    socket.on('data', chunk => { text += String(chunk) })
+    socket.on('end', () => end(socket.remoteAddress === undefined ? 'reset' : 'closed')()) // without an address after a reset that directly follows bytes
+    socket.on('error', end('reset'))
+  })
+}
+
 beforeEach(async () => {
   store = new PlatformStore()
   const storePort = await store.listen()
@@ -115,3 +130,22 @@
     expect((await call(gateway.port, '/write/1')).status).toBe(502)
   })
 })
+
+// To a caller without chunks the end of the connection completes the answer, also when the gateway gave it up.
+describe('a caller of HTTP/1.0', () => {
+  it('gets a reset when its answer is broken off, and a normal end of one that is whole', async () => {
+    const whole = await callWithHttp10('/stream/1')
+    await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
+    const broken = await callWithHttp10('/stream/1')
+    expect([whole, broken.end]).toEqual([{ body: EVENTS.join(''), end: 'closed' }, 'reset'])
+  })
+
+  it('gets a reset when the gateway stops before the end of its answer', async () => {
+    workers.forEach(w => { w.mode = 'dripping' })
+    const pending = callWithHttp10('/stream/1')
+    await waitUntil(() => workers.some(w => w.executedIds.length > 0))
+    await sleep(PROPAGATION_MS)
+    gateway.stop()
+    expect((await pending).end).toBe('reset')
+  })
+})
