Report an unmarked answer of a plain service as lost in the own interface

The same cause in the product's own interface: an answer of a plain service without length or chunks was whole when the service crashed within it, and, as undici reports a reset of such a connection as a normal end, also after a reset. With an idempotency key the half was kept as the outcome. The exchange now says whether the end was marked; engines' streams have an end marker of their own and need none, the calls of plain services and the replies of peers do. Ruled out: to ask the service for a connection as the gateway does, since undici hides resets; services of this interface that send neither length nor chunks now get response_lost for each call, with that reason.

--- a/src/router/engines/HttpExchange.ts
+++ b/src/router/engines/HttpExchange.ts
@@ -1,5 +1,6 @@
 /** One HTTP exchange whose response body is forwarded chunk by chunk, without the cost of a readable stream. */
 import type { Dispatcher } from 'undici'
+import { framingOf, type AnswerEnd } from '../../common/http/AnswerFraming.js'
 
 /** Callbacks of one exchange; the last call is exactly one of `onEnd` and `onError`. */
 export interface HttpSink {
@@ -7,7 +8,8 @@
   readonly onSending?: () => boolean
   readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void
   readonly onData: (chunk: Buffer) => void
-  readonly onEnd: () => void
+  /** The answer has ended without an error. An unknown end may also be a crash or, as undici doesn't tell, a reset. */
+  readonly onEnd: (end: AnswerEnd) => void
   /** `sent` is false when no byte of the request can have reached the peer. */
   readonly onError: (err: Error, sent: boolean) => void
 }
@@ -36,6 +38,7 @@
   let aborted = false
   let sent = false
   let finished = false
+  let end: AnswerEnd = 'unknown'
   const fail = (e: Error): void => {
     if (finished) return
     finished = true
@@ -49,6 +52,8 @@
       else sent = true
     },
     onResponseStart (_c, status, headers) {
+      const { 'content-length': contentLength, 'transfer-encoding': transferEncoding } = headers
+      end = framingOf({ method: req.method, status, contentLength: contentLength?.toString(), transferEncoding: transferEncoding?.toString() }) === 'connection' ? 'unknown' : 'whole'
       if (!aborted) sink.onHead(status, headers)
     },
     onResponseData (_c, chunk) {
@@ -57,7 +62,7 @@
     onResponseEnd () {
       if (finished) return
       finished = true
-      sink.onEnd()
+      sink.onEnd(end)
     },
     onResponseError (_c, e) {
       fail(e)
--- a/src/router/services/ServiceHandler.ts
+++ b/src/router/services/ServiceHandler.ts
@@ -143,7 +143,9 @@
           encodedHead = String(headers['x-answer'] ?? '')
         },
         onData: chunk => { chunks.push(chunk) },
-        onEnd: () => finish(parseResponse(status, encodedHead, Buffer.concat(chunks), node)),
+        onEnd: end => finish(end === 'unknown'
+          ? err(routeError('response_lost', 'forward', node, 'reply without length or chunks'))
+          : parseResponse(status, encodedHead, Buffer.concat(chunks), node)),
         onError: (e, sent) => finish(err(routeError(sent ? 'response_lost' : 'peer_unreachable', 'forward', node, e.message)))
       })
       const timer = setTimeout(() => exchange.abort(), call.timeoutMs + FORWARD_MARGIN_MS)
--- a/src/router/services/ServiceRunner.ts
+++ b/src/router/services/ServiceRunner.ts
@@ -155,8 +155,9 @@
           if (size > MAX_RESPONSE_BYTES) exchange.abort()
           else chunks.push(chunk)
         },
-        onEnd: () => {
+        onEnd: end => {
           if (headers['x-not-run'] !== undefined) resolve(err(routeError('endpoint_refused', 'dispatch', worker.id, `status ${status}`)))
+          else if (end === 'unknown') resolve(err(routeError('response_lost', 'dispatch', worker.id, 'answer without length or chunks')))
           else resolve(ok({ status, headers, body: Buffer.concat(chunks) }))
         },
         onError: (e, sent) => resolve(err(this.#connectionError(e, sent, worker)))
