Log lists that are ignored as older, and a store whose revision goes back

The flood after a restoration left no line: a list that wasn't taken and a revision that went back were not logged, so the hypotheses couldn't be told apart. The first ignored list after one that was applied is logged, so that the lines are bounded.

--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -87,9 +87,9 @@
     this.#failingSince ??= at
   }
 
-  /** Applies a complete list that was read at `listedAt`. A list older than the last one is ignored. */
-  update (list: EndpointList, listedAt: number, now: number): void {
-    if (list.revision < this.#revision) return
+  /** Applies a complete list that was read at `listedAt`. A list older than the last one is ignored; returns false then. */
+  update (list: EndpointList, listedAt: number, now: number): boolean {
+    if (list.revision < this.#revision) return false
     const sinceListMs = listedAt - this.#listedAt
     const outageMs = this.#failingSince === undefined ? 0 : listedAt - Math.max(this.#failingSince, this.#listedAt)
     this.#failingSince = undefined
@@ -108,6 +108,7 @@
     this.#listedAt = listedAt
     this.#revision = list.revision
     this.#regrouped.fire(this.#byService)
+    return true
   }
 
   #updateDigest (): void {
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -32,6 +32,8 @@
   readonly #reports = new LoadReports()
   readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
+  /** Lists ignored since the last one that was applied: only the first is logged. */
+  #ignoredLists = 0
 
   constructor (clock: IClock, log: Log) {
     super()
@@ -54,7 +56,10 @@
   /** Replaces the list of endpoints. @param ageMs time since the list was read. */
   update (list: EndpointList, ageMs: number): void {
     const now = this.#clock.nowMs()
-    this.table.update(list, now - ageMs, now)
+    const { revision } = this.table
+    const applied = this.table.update(list, now - ageMs, now)
+    if (applied) this.#ignoredLists = 0
+    else if (this.#ignoredLists++ === 0) this.#log.warn({ step: 'endpoints', revision: list.revision, own: revision, ageMs: Math.round(ageMs) }, 'older list ignored')
   }
 
   /** Records that a read `ageMs` ago found the same list at a later revision. */
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -122,6 +122,7 @@
   }
 
   #apply (read: StoreRead): void {
+    if (read.revision < (this.#watchRevision ?? 0)) this.log.warn({ step: 'config', revision: read.revision, own: this.#watchRevision }, 'revision of the store went back')
     this.#watchRevision = read.revision
     for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
       const config = parseConfig(item)
