--- a/src/standin/PlatformStore.ts
+++ b/src/standin/PlatformStore.ts
@@ -9,6 +9,7 @@
 /** How the store treats calls: it serves them, answers 503, or sends no answer. */
 export type StoreMode = 'serves' | 'refuses' | 'silent'
 
+/** An entry of the store. */
 interface Item {
   readonly key: string
   readonly value: string
@@ -26,6 +27,12 @@
   return { key: item.key, value: Buffer.from(item.value).toString('base64'), revision: item.revision, created: item.revision, lease: 0 }
 }
 
+/** What a store holds at one time, to be restored later. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>
+  readonly revision: number
+}
+
 /** HTTP server of the simulated store, on a free port. */
 export class PlatformStore {
   mode: StoreMode = 'serves'
@@ -34,11 +41,13 @@
   /** Number of calls by kind: `key`, `range`, `watch`. */
   readonly callCounts = new Map<string, number>()
   readonly #server: Server
-  readonly #items = new Map<string, Item>()
+  #items = new Map<string, Item>()
   #deletions: Array<{ readonly key: string, readonly revision: number }> = []
   #watches: PendingWatch[] = []
   #revision = 1
   #compactedRevision = 0
+  /** Rises each time the store is restored from a copy. */
+  #era = 1
 
   constructor () {
     this.#server = createServer((req, res) => this.#serve(new URL(req.url ?? '/', 'http://store'), res))
@@ -72,6 +81,18 @@
     this.#deletions = []
   }
 
+  copy (): StoreCopy {
+    return { items: new Map(this.#items), revision: this.#revision }
+  }
+
+  /** Goes back to a copy: what was written since is lost, and its revisions are given out again. Pending watches go on. */
+  restore ({ items, revision }: StoreCopy): void {
+    this.#items = new Map(items)
+    this.#revision = revision
+    this.#deletions = []
+    this.#era++
+  }
+
   #serve (url: URL, res: ServerResponse): void {
     const kind = url.pathname.slice('/v1/kv-'.length)
     this.callCounts.set(kind, (this.callCounts.get(kind) ?? 0) + 1)
@@ -96,7 +117,7 @@
 
   #openWatch (query: URLSearchParams, res: ServerResponse): void {
     const watch = { prefix: query.get('path_prefix') ?? '', after: Number(query.get('after')), res }
-    if (watch.after < this.#compactedRevision) {
+    if (watch.after < this.#compactedRevision || watch.after > this.#revision) {
       this.#send(res, 410, { error: 'history is gone' })
       return
     }
@@ -127,7 +148,7 @@
     const text = JSON.stringify(body)
     setTimeout(() => {
       if (res.writableEnded || res.destroyed) return
-      res.writeHead(status, { 'content-type': 'application/json' })
+      res.writeHead(status, { 'content-type': 'application/json', 'store-era': String(this.#era) })
       res.end(text)
     }, this.delayMs)
   }
