Order lists by the platform's epoch before their revision

After a restoration of the store each list was read hundreds of times a second by every gateway, and endpoints that started or left weren't seen. Cause: a list of a lower revision was older, but a store that comes back from a copy gives its revisions out again; the list's age then grew, and the time to the next read follows from it. Class: a counter taken for monotonic that isn't. The version of a list is now its epoch (the store's era, decoded once in the platform's client) and its revision, compared in that order where it is read, kept, confirmed, gossiped and fetched from peers. A list whose pages are of two epochs is read again. Datagrams carry the epoch as their last field, so that gateways of the version before can read them and be read. Ruled out: to take any list that was read later, as ages of peers are estimates.

--- a/src/common/peers/ViewVersion.ts
+++ b/src/common/peers/ViewVersion.ts
@@ -1,11 +1,13 @@
 /** Versions of the platform's configuration and list that gateways gossip, so that few of them need to read the platform. */
+import type { ListVersion } from '../generated/PeerDatagram.js'
+import { compareVersions } from './ListVersion.js'
 
 /** Version and age of a gateway's view of the platform. */
 export interface ViewVersion {
   readonly configRevision: number
   /** Time since the platform confirmed that there is no newer configuration; Infinity when it never did. */
   readonly configAgeMs: number
-  readonly listRevision: number
+  readonly listVersion: ListVersion
   /** Digest of the content of the list of endpoints. */
   readonly listDigest: number
   readonly listAgeMs: number
@@ -22,6 +24,8 @@
 
 /** Compares a peer's list of endpoints with ours. A later list with the same content confirms ours. */
 export function compareList (own: ViewVersion, peer: ViewVersion): GossipAction {
-  if (peer.listRevision < own.listRevision || peer.listAgeMs >= own.listAgeMs) return 'ignore'
+  if (compareVersions(peer.listVersion, own.listVersion) < 0) return 'ignore'
+  const isSameEpoch = peer.listVersion.epoch === own.listVersion.epoch
+  if (isSameEpoch && peer.listAgeMs >= own.listAgeMs) return 'ignore'
   return peer.listDigest === own.listDigest ? 'confirm' : 'fetch'
 }
--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -4,7 +4,9 @@
  * register again moments later. A list that was only read late does not count as an outage.
  */
 import { Emitter } from '../Emitter.js'
+import type { ListVersion } from '../generated/PeerDatagram.js'
 import { digestOfSet } from '../Hash.js'
+import { compareVersions, newerVersion } from '../peers/ListVersion.js'
 import { endpointKey, isSameIncarnation, type Endpoint, type EndpointList } from './Types.js'
 
 const LIST_OUTAGE_MS = 1_500 // after failed reads for this long, entries of live endpoints may have expired
@@ -31,7 +33,7 @@
   #listed: readonly Endpoint[] = []
   #byService = new Map<string, readonly Endpoint[]>()
   #listedAt = -Infinity
-  #revision = 0
+  #version: ListVersion = { epoch: 0, revision: 0 }
   #digest = 0
   /** By id; an endpoint that didn't change isn't hashed again. */
   #digested = new Map<string, DigestedEndpoint>()
@@ -51,8 +53,9 @@
     return this.#listedAt
   }
 
-  get revision (): number {
-    return this.#revision
+  /** Version of the last list. */
+  get version (): ListVersion {
+    return this.#version
   }
 
   /** Digest of the list's content; equal digests mean equal lists. */
@@ -62,7 +65,7 @@
 
   /** The list as last read, for passing on to peers. Excludes retained endpoints, which may be gone for other instances. */
   get list (): EndpointList {
-    return { revision: this.#revision, endpoints: this.#listed }
+    return { version: this.#version, endpoints: this.#listed }
   }
 
   /** Endpoints of a service that may get new work. */
@@ -74,9 +77,9 @@
     return this.#endpoints.get(id)
   }
 
-  /** Records that a list with the same endpoints, of the same or a later revision, was read at `listedAt`. */
-  confirm (revision: number, listedAt: number, now: number): void {
-    this.#revision = Math.max(this.#revision, revision)
+  /** Records that a list with the same endpoints, of the same or a later version, was read at `listedAt`. */
+  confirm (version: ListVersion, listedAt: number, now: number): void {
+    this.#version = newerVersion(this.#version, version)
     this.#listedAt = Math.max(this.#listedAt, listedAt)
     const hasRetained = this.#endpoints.size > this.#listed.length
     if (hasRetained && now >= this.#graceUntil) this.update(this.list, this.#listedAt, now)
@@ -89,7 +92,7 @@
 
   /** Applies a complete list that was read at `listedAt`. A list older than the last one is ignored; returns false then. */
   update (list: EndpointList, listedAt: number, now: number): boolean {
-    if (list.revision < this.#revision) return false
+    if (compareVersions(list.version, this.#version) < 0) return false
     const sinceListMs = listedAt - this.#listedAt
     const outageMs = this.#failingSince === undefined ? 0 : listedAt - Math.max(this.#failingSince, this.#listedAt)
     this.#failingSince = undefined
@@ -106,7 +109,7 @@
     this.#listed = list.endpoints
     this.#updateDigest()
     this.#listedAt = listedAt
-    this.#revision = list.revision
+    this.#version = list.version
     this.#regrouped.fire(this.#byService)
     return true
   }
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -1,4 +1,5 @@
 /** Data that routing works on: the configuration in force, the endpoints, and one request. Times are in ms. */
+import type { ListVersion } from '../generated/PeerDatagram.js'
 
 /** One of the services that a route's requests are split over. */
 export interface RouteTarget {
@@ -95,7 +96,7 @@
 /** Snapshot of the complete list of endpoints. */
 export interface EndpointList {
   /** Position of the snapshot in the order of all changes. */
-  readonly revision: number
+  readonly version: ListVersion
   readonly endpoints: readonly Endpoint[]
 }
 
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,6 +1,6 @@
 /** Holds the state and the connections of each listed endpoint, and updates them as the list of endpoints changes. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { GossipedLimit, GossipedLoad } from '../common/generated/PeerDatagram.js'
+import type { GossipedLimit, GossipedLoad, ListVersion } from '../common/generated/PeerDatagram.js'
 import { Candidates } from '../common/routing/Candidates.js'
 import { DataCentreHealth } from '../common/routing/DataCentreHealth.js'
 import { EndpointGroup } from '../common/routing/EndpointGroup.js'
@@ -56,16 +56,20 @@
   /** Replaces the list of endpoints. @param ageMs time since the list was read. */
   update (list: EndpointList, ageMs: number): void {
     const now = this.#clock.nowMs()
-    const { revision } = this.table
+    const own = this.table.version
     const applied = this.table.update(list, now - ageMs, now)
-    if (applied) this.#ignoredLists = 0
-    else if (this.#ignoredLists++ === 0) this.#log.warn({ step: 'endpoints', revision: list.revision, own: revision, ageMs: Math.round(ageMs) }, 'older list ignored')
+    if (applied) {
+      this.#ignoredLists = 0
+      if (own.epoch > 0 && list.version.epoch > own.epoch) this.#log.warn({ step: 'endpoints', version: list.version, own }, 'platform was restored from a copy')
+    } else if (this.#ignoredLists++ === 0) {
+      this.#log.warn({ step: 'endpoints', version: list.version, own, ageMs: Math.round(ageMs) }, 'older list ignored')
+    }
   }
 
-  /** Records that a read `ageMs` ago found the same list at a later revision. */
-  confirm (revision: number, ageMs: number): void {
+  /** Records that a read `ageMs` ago found the same list at a later version. */
+  confirm (version: ListVersion, ageMs: number): void {
     const now = this.#clock.nowMs()
-    this.table.confirm(revision, now - ageMs, now)
+    this.table.confirm(version, now - ageMs, now)
   }
 
   /** Records that a read of the list which began `ageMs` ago failed. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -218,8 +218,8 @@
   }
 
   #viewVersion (): ViewVersion {
-    const { revision: listRevision, digest: listDigest } = this.#pool.table
-    return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listRevision, listDigest, listAgeMs: this.#pool.listAgeMs }
+    const { version: listVersion, digest: listDigest } = this.#pool.table
+    return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listVersion, listDigest, listAgeMs: this.#pool.listAgeMs }
   }
 
   #gossipHost (): IGossipHost {
@@ -230,7 +230,7 @@
       limitReports: () => this.#pool.limitReports(),
       mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
       confirmConfig: ageMs => this.#config.confirm(ageMs),
-      confirmList: (revision, ageMs) => this.#pool.confirm(revision, ageMs),
+      confirmList: (version, ageMs) => this.#pool.confirm(version, ageMs),
       fetch: (kind, from, ageMs) => {
         this.#snapshots.fetch(kind, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part: kind, err: String(e) }, 'snapshot fetch failed'))
       }
--- a/src/gateway/GossipTask.ts
+++ b/src/gateway/GossipTask.ts
@@ -3,7 +3,7 @@
  * the outcomes of requests there, and merges what peers send. A newer configuration or list is fetched from the peer that has it.
  */
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { GossipDatagram } from '../common/generated/PeerDatagram.js'
+import type { GossipDatagram, ListVersion } from '../common/generated/PeerDatagram.js'
 import { readerOf } from '../common/peers/ReaderElection.js'
 import { compareConfig, compareList, type ViewVersion } from '../common/peers/ViewVersion.js'
 import type { IClock, IRandom } from '../common/Services.js'
@@ -28,7 +28,7 @@
   limitReports (): GossipDatagram['limits']
   mergeLimitReports (reports: GossipDatagram['limits']): void
   confirmConfig (ageMs: number): void
-  confirmList (revision: number, ageMs: number): void
+  confirmList (version: ListVersion, ageMs: number): void
   /** Fetches the configuration or the list from a peer that has a newer one. @param ageMs age of the peer's copy. */
   fetch (kind: 'config' | 'endpoints', from: InstanceAddress, ageMs: number): void
 }
@@ -84,9 +84,9 @@
   }
 
   #createMessage (loads: GossipDatagram['loads']): GossipDatagram {
-    const { configRevision, configAgeMs, listRevision, listDigest, listAgeMs } = this.#host.viewVersion()
+    const { configRevision, configAgeMs, listVersion, listDigest, listAgeMs } = this.#host.viewVersion()
     const ages = { configAgeMs: clampAge(configAgeMs), listAgeMs: clampAge(listAgeMs) }
-    return { kind: 'news', id: this.#peers.self.id, configRevision, listRevision, listDigest, ...ages, loads, limits: this.#host.limitReports() }
+    return { kind: 'news', id: this.#peers.self.id, configRevision, listVersion, listDigest, ...ages, loads, limits: this.#host.limitReports() }
   }
 
   /** Sends to some peers, including those that are leaving, as they continue to serve for a while. */
@@ -115,7 +115,7 @@
 
   /** Confirms the list; a reader forwards a read made in another data centre to its own data centre. */
   #confirmList (message: GossipDatagram, own: ViewVersion): void {
-    this.#host.confirmList(message.listRevision, message.listAgeMs)
+    this.#host.confirmList(message.listVersion, message.listAgeMs)
     const remote = this.#peers.address(message.id)?.dataCentre !== this.#peers.self.dataCentre
     if (remote && own.listAgeMs - message.listAgeMs > MIN_AGE_GAIN_MS && this.#peers.isReader(LIST_TOPIC)) this.#broadcast(false)
   }
--- a/src/gateway/HttpCall.ts
+++ b/src/gateway/HttpCall.ts
@@ -5,10 +5,12 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { EndpointExchange } from './EndpointExchange.js'
+import type { HeaderList } from './Types.js'
 
 /** A complete response. */
 export interface HttpResponse {
   readonly status: number
+  readonly headers: HeaderList
   readonly body: Buffer
 }
 
@@ -35,14 +37,18 @@
   return await new Promise(resolve => {
     const chunks: Buffer[] = []
     let status = 0
+    let headers: HeaderList = []
     let timedOut = false
     const call = { address, port, method: 'GET', target, headers: ['Host', peer], body: Buffer.alloc(0), connectTimeoutMs: CONNECT_TIMEOUT_MS }
     const exchange = new EndpointExchange(agent, call, {
-      onHead (code) { status = code },
+      onHead (code, received) {
+        status = code
+        headers = received
+      },
       onData (chunk) { chunks.push(chunk) },
       onEnd () {
         clearTimeout(timer)
-        resolve(ok({ status, body: Buffer.concat(chunks) }))
+        resolve(ok({ status, headers, body: Buffer.concat(chunks) }))
       },
       onError (_failure, sent, detail) {
         clearTimeout(timer)
--- a/src/platform/HeaderNames.ts
+++ b/src/platform/HeaderNames.ts
@@ -16,7 +16,8 @@
   lastEventId: 'Last-Event-Id',
   promptSource: 'Kv-Fetch', // address of the engine to copy cached prompt parts from
   retryAfter: 'Retry-After',
-  authorization: 'Authorization'
+  authorization: 'Authorization',
+  storeEpoch: 'Store-Era' // of the store: rises each time it is restored from a copy
 } as const
 
 /** Headers that callers may not set: they are dropped from requests. */
--- a/src/platform/RequestCodec.ts
+++ b/src/platform/RequestCodec.ts
@@ -3,6 +3,7 @@
 import { routeError, type RouteError } from '../common/Errors.js'
 import type { Prompt, PromptPart, ReportedLoad } from '../common/routing/Types.js'
 import type { EndpointCall, HeaderList, IRequestCodec, RequestHead, ResponseHead, RoutedRequest } from '../gateway/Types.js'
+import { getHeader } from './Headers.js'
 import { HEADER, HOP_BY_HOP_HEADERS, RESERVED_HEADERS } from './HeaderNames.js'
 
 const MIN_SUCCESS_STATUS = 200
@@ -11,15 +12,6 @@
 const HIGHEST_PRIORITY = 0
 const LOWEST_PRIORITY = 9
 
-/** Returns the first value of a header; names are compared without case. */
-function getHeader (headers: HeaderList, name: string): string | undefined {
-  const wanted = name.toLowerCase()
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    if (headers[i]!.toLowerCase() === wanted) return headers[i + 1]
-  }
-  return undefined
-}
-
 /** Drops the headers in `drop`, hop-by-hop headers, and those that the Connection header lists. */
 function omitHeaders (headers: HeaderList, drop: ReadonlySet<string>): HeaderList {
   const listed = new Set((getHeader(headers, 'connection') ?? '').split(',').map(name => name.trim().toLowerCase()))
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -1,8 +1,12 @@
 /** Read-only client of the platform's store: reads one key or all keys under a prefix, or watches a prefix. The only client of the store. */
 import { err, ok, type Result } from 'neverthrow'
+import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import { EndpointAgent } from '../gateway/EndpointAgent.js'
 import type { GatewayMetrics } from '../gateway/GatewayMetrics.js'
 import { httpGet } from '../gateway/HttpCall.js'
+import type { HeaderList } from '../gateway/Types.js'
+import { getHeader } from './Headers.js'
+import { HEADER } from './HeaderNames.js'
 
 const READ_TIMEOUT_MS = 800 // a read that takes longer is retried on another connection
 const WATCH_MARGIN_MS = 700 // added to the requested wait
@@ -25,10 +29,10 @@
   readonly value: Buffer
 }
 
-/** Items as of approximately the store's `revision`. */
+/** Items as of approximately the store's `version`. */
 export interface StoreRead {
   readonly items: readonly StoreItem[]
-  readonly revision: number
+  readonly version: ListVersion
 }
 
 interface WireItem {
@@ -45,6 +49,12 @@
   readonly at?: unknown
 }
 
+/** A parsed response with the store's version. */
+interface VersionedResponse {
+  readonly body: WireResponse
+  readonly version: ListVersion
+}
+
 type CallKind = 'key' | 'range' | 'watch'
 
 function parseItem (wire: WireItem): StoreItem | undefined {
@@ -76,23 +86,24 @@
   /** Reads one key. */
   async key (key: string): Promise<Result<StoreRead, StoreError>> {
     const response = await this.#get('key', `/v1/kv-key?key=${encodeURIComponent(key)}`, READ_TIMEOUT_MS)
-    return response.map(body => ({ items: parseItems([body]), revision: Number(body.at) }))
+    return response.map(({ body, version }) => ({ items: parseItems([body]), version }))
   }
 
-  /** Reads all keys under a prefix, page by page; `revision` is that of the first page. */
+  /** Reads all keys under a prefix, page by page; the version is that of the first page. */
   async range (prefix: string): Promise<Result<StoreRead, StoreError>> {
     const items: StoreItem[] = []
-    let revision = Infinity
+    let first: ListVersion | undefined
     let after = ''
     for (let page = 0; page < MAX_PAGES; page++) {
       const query = `path_prefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`
       const response = await this.#get('range', `/v1/kv-range?${query}`, READ_TIMEOUT_MS)
       if (response.isErr()) return err(response.error)
-      const found = parseItems(response.value.items)
-      items.push(...found)
-      revision = Math.min(revision, Number(response.value.at))
-      const last = response.value.items?.[response.value.items.length - 1]?.key
-      if (response.value.has_more !== true || typeof last !== 'string') return ok({ items, revision })
+      const { body, version } = response.value
+      first ??= version
+      if (version.epoch !== first.epoch) return err(this.#error('history-gone', 'restored between two pages'))
+      items.push(...parseItems(body.items))
+      const last = body.items?.[body.items.length - 1]?.key
+      if (body.has_more !== true || typeof last !== 'string') return ok({ items, version: first })
       after = last
     }
     return err(this.#error('malformed', `more than ${MAX_PAGES} pages`))
@@ -102,26 +113,28 @@
   async watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>> {
     const query = `path_prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`
     const response = await this.#get('watch', `/v1/kv-watch?${query}`, waitMs + WATCH_MARGIN_MS)
-    return response.map(body => ({ items: parseItems(body.events), revision: Number(body.at) }))
+    return response.map(({ body, version }) => ({ items: parseItems(body.events), version }))
   }
 
   close (): void {
     Object.values(this.#agents).forEach(agent => agent.destroy())
   }
 
-  async #get (kind: CallKind, target: string, timeoutMs: number): Promise<Result<WireResponse, StoreError>> {
+  async #get (kind: CallKind, target: string, timeoutMs: number): Promise<Result<VersionedResponse, StoreError>> {
     const response = await httpGet({ agent: this.#agents[kind], address: this.#address, port: this.#port }, target, timeoutMs)
     const result = response
       .mapErr(e => this.#error('unreachable', `${e.step}: ${e.reason}`))
-      .andThen(({ status, body }) => status === 200 ? this.#parse(body) : err(this.#error(errorKindOf(status), `status ${status}`)))
+      .andThen(({ status, headers, body }) => status === 200 ? this.#parse(headers, body) : err(this.#error(errorKindOf(status), `status ${status}`)))
     this.#metrics.platformCalls.inc({ kind, result: result.isOk() ? 'ok' : result.error.kind })
     return result
   }
 
-  #parse (body: Buffer): Result<WireResponse, StoreError> {
+  #parse (headers: HeaderList, text: Buffer): Result<VersionedResponse, StoreError> {
     try {
-      const response = JSON.parse(body.toString('utf8')) as WireResponse
-      return Number.isFinite(Number(response.at)) ? ok(response) : err(this.#error('malformed', 'no revision'))
+      const body = JSON.parse(text.toString('utf8')) as WireResponse
+      const version = { epoch: Number(getHeader(headers, HEADER.storeEpoch) ?? 0), revision: Number(body.at ?? NaN) }
+      const isValid = Number.isSafeInteger(version.epoch) && version.epoch >= 0 && Number.isSafeInteger(version.revision) && version.revision >= 0
+      return isValid ? ok({ body, version }) : err(this.#error('malformed', 'no version'))
     } catch (e) {
       return err(this.#error('malformed', (e as Error).message))
     }
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -122,8 +122,9 @@
   }
 
   #apply (read: StoreRead): void {
-    if (read.revision < (this.#watchRevision ?? 0)) this.log.warn({ step: 'config', revision: read.revision, own: this.#watchRevision }, 'revision of the store went back')
-    this.#watchRevision = read.revision
+    const { revision } = read.version
+    if (revision < (this.#watchRevision ?? 0)) this.log.warn({ step: 'config', revision, own: this.#watchRevision }, 'revision of the store went back')
+    this.#watchRevision = revision
     for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
       const config = parseConfig(item)
       if (config === undefined) this.log.error({ step: 'config', bytes: item.value.length }, 'unreadable configuration')
@@ -156,7 +157,7 @@
     const malformed = read.value.items.filter(item => parseEndpoint(item) === undefined)
     this.#logMalformed(malformed)
     const endpoints = read.value.items.map(parseEndpoint).filter(e => e !== undefined)
-    this.receiver.updateEndpoints({ revision: read.value.revision, endpoints }, performance.now() - startedAt)
+    this.receiver.updateEndpoints({ version: read.value.version, endpoints }, performance.now() - startedAt)
     return 0
   }
 
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -70,18 +70,19 @@
 function gossipRow (kind: number, d: GossipDatagram): Row {
   const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_SCALE), Math.round(l.ended * COUNT_SCALE)])
   const limits = d.limits.flatMap(l => [l.endpoint, l.startedAtMs, l.requestsPerSec, l.ageMs])
-  return [kind, d.id, d.configRevision, d.configAgeMs, d.listRevision, d.listDigest, d.listAgeMs, loads, limits]
+  return [kind, d.id, d.configRevision, d.configAgeMs, d.listVersion.revision, d.listDigest, d.listAgeMs, loads, limits, d.listVersion.epoch]
 }
 
 function gossipOf (row: Row): GossipDatagram {
-  const [, id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, flat, flatLimits] = row
+  const [, id, configRevision, configAgeMs, revision, listDigest, listAgeMs, flat, flatLimits, epoch = 0] = row
   const numbers = flat as readonly number[]
   const loads = []
   for (let i = 0; i + 4 < numbers.length; i += 5) {
     const [endpoint, requests, ageMs, failed, ended] = numbers.slice(i, i + 5)
     loads.push({ endpoint: endpoint!, requests: requests!, ageMs: ageMs!, failed: failed! / COUNT_SCALE, ended: ended! / COUNT_SCALE })
   }
-  return { kind: 'news', id, configRevision, configAgeMs, listRevision, listDigest, listAgeMs, loads, limits: limitsOf(flatLimits as readonly number[]) } as GossipDatagram
+  const limits = limitsOf(flatLimits as readonly number[])
+  return { kind: 'news', id, configRevision, configAgeMs, listVersion: { epoch, revision }, listDigest, listAgeMs, loads, limits } as GossipDatagram
 }
 
 function limitsOf (flat: readonly number[]): GossipedLimit[] {
