Pause between calls of the store, whatever the answer was

The readers' loops had no pause but the one that follows from what they read: an answer that wasn't taken (older, of another epoch), or a watch that ended at once, brought the next call at once. Each reader now leaves 50 ms between two calls, and backs off as after a failure while calls bring nothing usable. Class: a loop whose pause depends on the success of what it did. Ruled out: a backoff before the watch that follows a read of the key, as a change would be seen later after an outage. Test: StoreReaders, eight kinds of useless answers, counted in virtual time without a clock.

--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -53,8 +53,8 @@
     return this.#clock.nowMs() - this.table.listedAt
   }
 
-  /** Replaces the list of endpoints. @param ageMs time since the list was read. */
-  update (list: EndpointList, ageMs: number): void {
+  /** Replaces the list of endpoints; returns false when this one is older. @param ageMs time since the list was read. */
+  update (list: EndpointList, ageMs: number): boolean {
     const now = this.#clock.nowMs()
     const own = this.table.version
     const applied = this.table.update(list, now - ageMs, now)
@@ -64,6 +64,7 @@
     } else if (this.#ignoredLists++ === 0) {
       this.#log.warn({ step: 'endpoints', version: list.version, own, ageMs: Math.round(ageMs) }, 'older list ignored')
     }
+    return applied
   }
 
   /** Records that a read `ageMs` ago found the same list at a later version. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -141,10 +141,11 @@
     this.#config.confirm()
   }
 
-  /** Applies a list of endpoints that was read from the platform. @param ageMs time since the read began. */
-  updateEndpoints (list: EndpointList, ageMs: number): void {
-    this.#applyEndpoints(list, ageMs)
-    this.#gossip.broadcastListRead()
+  /** Applies a list of endpoints that was read from the platform; returns false when it is older than the last one. @param ageMs time since the read began. */
+  updateEndpoints (list: EndpointList, ageMs: number): boolean {
+    const applied = this.#applyEndpoints(list, ageMs)
+    if (applied) this.#gossip.broadcastListRead()
+    return applied
   }
 
   /** Records that a read of the list of endpoints failed. @param ageMs time since that read began. */
@@ -211,10 +212,11 @@
     this.dispose()
   }
 
-  #applyEndpoints (list: EndpointList, ageMs: number): void {
+  #applyEndpoints (list: EndpointList, ageMs: number): boolean {
     const before = this.#pool.table.digest
-    this.#pool.update(list, ageMs)
+    const applied = this.#pool.update(list, ageMs)
     if (this.#pool.table.digest !== before) this.#gossip.gossipChange()
+    return applied
   }
 
   #viewVersion (): ViewVersion {
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -71,7 +71,17 @@
   return status === 410 ? 'history-gone' : 'refused'
 }
 
-export class StoreClient {
+/** Reads of the store. */
+export interface IStoreReads {
+  /** Reads one key. */
+  key (key: string): Promise<Result<StoreRead, StoreError>>
+  /** Reads all keys under a prefix, page by page; the version is that of the first page. */
+  range (prefix: string): Promise<Result<StoreRead, StoreError>>
+  /** Waits for changes after a revision; an empty read means that there were none. Deletions are omitted. */
+  watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>>
+}
+
+export class StoreClient implements IStoreReads {
   readonly #address: string
   readonly #port: number
   readonly #metrics: GatewayMetrics
@@ -83,13 +93,11 @@
     this.#metrics = metrics
   }
 
-  /** Reads one key. */
   async key (key: string): Promise<Result<StoreRead, StoreError>> {
     const response = await this.#get('key', `/v1/kv-key?key=${encodeURIComponent(key)}`, READ_TIMEOUT_MS)
     return response.map(({ body, version }) => ({ items: parseItems([body]), version }))
   }
 
-  /** Reads all keys under a prefix, page by page; the version is that of the first page. */
   async range (prefix: string): Promise<Result<StoreRead, StoreError>> {
     const items: StoreItem[] = []
     let first: ListVersion | undefined
@@ -109,7 +117,6 @@
     return err(this.#error('malformed', `more than ${MAX_PAGES} pages`))
   }
 
-  /** Waits for changes after a revision; an empty read means that there were none. Deletions are omitted. */
   async watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>> {
     const query = `path_prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`
     const response = await this.#get('watch', `/v1/kv-watch?${query}`, waitMs + WATCH_MARGIN_MS)
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -2,19 +2,26 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Disposable } from '../common/Disposable.js'
 import type { ListVersion } from '../common/generated/PeerDatagram.js'
+import { compareVersions } from '../common/peers/ListVersion.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
 import type { IEvent, IRandom } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { CONFIG_KEY, ENDPOINT_PREFIX, parseConfig, parseEndpoint } from './Records.js'
-import type { StoreClient, StoreError, StoreItem, StoreRead } from './StoreClient.js'
+import type { IStoreReads, StoreError, StoreItem, StoreRead } from './StoreClient.js'
 
 const WATCH_WAIT_MS = 1_500 // short, so that a dead connection is detected soon
 const CONFIG_FALLBACK_MS = 1_600 // interval of an instance that doesn't watch, when no peer confirms its configuration
 const UNPUBLISHED_POLL_INTERVAL_MS = 400
 const UNPUBLISHED_WAIT_MS = 2_500 // for the first configuration to arrive from a peer, before an instance reads the store itself
+const MIN_PAUSE_MS = 50 // between two calls, whatever the answer was
 const MIN_BACKOFF_MS = 150
 const MAX_BACKOFF_MS = 1_200
 
+/** Waits; rejects when the signal ends the wait early. */
+export type Wait = (ms: number, signal?: AbortSignal) => Promise<unknown>
+
+const systemWait: Wait = async (ms, signal) => { await sleep(ms, undefined, { ref: false, ...signal === undefined ? {} : { signal } }) }
+
 /** Receives what was read and schedules further reads, taking the reads of peers into account. */
 export interface IStoreReceiver {
   /** True when this instance watches the configuration for its data centre. */
@@ -28,62 +35,86 @@
   updateConfig (config: RoutingConfig): void
   /** Records that the store has no newer configuration than the one that was read last. */
   confirmConfig (): void
-  /** @param ageMs time since the read began: a slow response may be as old as its request. */
-  updateEndpoints (list: EndpointList, ageMs: number): void
+  /** Returns false when the list is older than the last one. @param ageMs time since the read began: a slow response may be as old as its request. */
+  updateEndpoints (list: EndpointList, ageMs: number): boolean
   /** @param ageMs time since the failed read began. */
   endpointReadFailed (ageMs: number): void
 }
 
-/** Base class of the readers: backs off after failures and logs each loss and recovery of the store once. */
+/**
+ * Base class of the readers: pauses between calls, backs off while they fail or bring nothing usable, and logs each loss and recovery
+ * of the store once.
+ */
 abstract class StoreReader extends Disposable {
   protected readonly receiver: IStoreReceiver
-  protected readonly store: StoreClient
+  protected readonly store: IStoreReads
   protected readonly log: Log
   readonly #random: IRandom
   readonly #name: string
-  #failures = 0
-  #lostAt = 0
+  readonly #sleep: Wait
+  /** Calls in a row that brought nothing usable. */
+  #unusable = 0
+  /** When the store was lost; undefined while it answers. */
+  #lostAt: number | undefined
 
-  constructor (name: string, store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver) {
+  constructor (name: string, store: IStoreReads, random: IRandom, log: Log, receiver: IStoreReceiver, wait: Wait) {
     super()
     this.receiver = receiver
     this.#name = name
     this.store = store
     this.#random = random
     this.log = log
+    this.#sleep = wait
   }
 
   /** Reads until disposed. */
   async run (): Promise<void> {
     while (!this.isDisposed) {
+      const startedAt = performance.now()
       const waitMs = await this.step()
-      if (waitMs > 0) await this.#wait(waitMs)
+      const pauseMs = MIN_PAUSE_MS - (performance.now() - startedAt)
+      if (pauseMs > 0) await this.#sleep(pauseMs)
+      if (waitMs > pauseMs) await this.#wait(waitMs - Math.max(0, pauseMs))
     }
   }
 
-  /** Waits until the next step. A change of the readers ends the wait, unless the store failed: then the backoff counts. */
+  /** Waits until the next step. A change of the readers ends the wait, unless the reader backs off. */
   async #wait (ms: number): Promise<void> {
     const abort = new AbortController()
-    const listener = this.receiver.onReaderChange(() => { if (this.#failures === 0) abort.abort() })
-    await sleep(ms, undefined, { ref: false, signal: abort.signal }).catch(() => {}) // rejects when ended early
+    const listener = this.receiver.onReaderChange(() => { if (this.#unusable === 0) abort.abort() })
+    await this.#sleep(ms, abort.signal).catch(() => {}) // rejects when ended early
     listener.dispose()
   }
 
   /** Makes one read if it is due; returns the time in ms until the next step. */
   protected abstract step (): Promise<number>
 
-  protected succeeded (): void {
-    if (this.#failures > 0) this.log.info({ step: 'store', reader: this.#name, failures: this.#failures, lostMs: Math.round(performance.now() - this.#lostAt) }, 'store regained')
-    this.#failures = 0
+  /** Records an answer. Returns the time in ms to wait before the next step: none, or longer each time while answers are of no use. */
+  protected answered (usable: boolean): number {
+    this.regained()
+    if (!usable) return this.#backOff()
+    this.#unusable = 0
+    return 0
+  }
+
+  /** Logs that the store answers again. */
+  protected regained (): void {
+    if (this.#lostAt === undefined) return
+    this.log.info({ step: 'store', reader: this.#name, calls: this.#unusable, lostMs: Math.round(performance.now() - this.#lostAt) }, 'store regained')
+    this.#lostAt = undefined
   }
 
-  /** Returns the time in ms to wait before the next try. */
+  /** Records a failed call; returns the time in ms to wait before the next step. */
   protected failed (e: StoreError): number {
-    if (this.#failures === 0) {
+    if (this.#lostAt === undefined) {
       this.#lostAt = performance.now()
       this.log.warn({ step: e.step, reader: this.#name, peer: e.peer, kind: e.kind, reason: e.reason }, 'store lost')
     }
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#failures++)
+    return this.#backOff()
+  }
+
+  #backOff (): number {
+    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.#unusable++)
     return backoffMs * (0.5 + this.#random.next() / 2)
   }
 }
@@ -94,8 +125,8 @@
   #position: ListVersion | undefined
   #notPublishedLogged = false
 
-  constructor (store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver) {
-    super('config', store, random, log, receiver)
+  constructor (store: IStoreReads, random: IRandom, log: Log, receiver: IStoreReceiver, wait = systemWait) {
+    super('config', store, random, log, receiver, wait)
   }
 
   protected override async step (): Promise<number> {
@@ -105,27 +136,38 @@
       this.#position = undefined
     }
     const position = this.#position
+    const startedAt = performance.now()
     const read = position === undefined ? await this.store.key(CONFIG_KEY) : await this.store.watch(CONFIG_KEY, position.revision, WATCH_WAIT_MS)
     if (read.isErr()) {
       if (read.error.kind === 'not-found') return this.#onNotPublished()
       this.#position = undefined // the store may come back from a copy, in which the revision stands for another change
       return this.failed(read.error)
     }
-    this.succeeded()
     this.#apply(read.value)
-    if (position !== undefined && position.epoch !== read.value.version.epoch) this.#onRestored(position, read.value.version)
+    const { version, items } = read.value
+    if (position === undefined) return this.#afterKey()
+    if (position.epoch !== version.epoch) return this.#onRestored(position, version)
+    const hasWaited = performance.now() - startedAt > WATCH_WAIT_MS / 2
+    return this.answered(hasWaited || (items.length > 0 && compareVersions(version, position) > 0))
+  }
+
+  /** A reader watches from here at once; only an answer to a watch ends its backoff, so that reads of the key in between don't. */
+  #afterKey (): number {
+    if (!this.receiver.isConfigReader) return this.answered(true)
+    this.regained()
     return 0
   }
 
   /** Changes before the revision of the watch may have been missed: reads the key again. */
-  #onRestored (own: ListVersion, version: ListVersion): void {
+  #onRestored (own: ListVersion, version: ListVersion): number {
     this.log.warn({ step: 'config', version, own }, 'platform was restored from a copy')
     this.#position = undefined
+    return this.answered(false)
   }
 
   /** No configuration was ever published: one instance polls the store, the others wait until a peer has one. */
   #onNotPublished (): number {
-    this.succeeded()
+    this.answered(true)
     if (!this.#notPublishedLogged) this.log.info({ step: 'config' }, 'no configuration is published yet')
     this.#notPublishedLogged = true
     return this.receiver.isConfigReader ? UNPUBLISHED_POLL_INTERVAL_MS : UNPUBLISHED_WAIT_MS
@@ -147,8 +189,8 @@
   readonly #intervalMs: number
   #malformedKeys = ''
 
-  constructor (store: StoreClient, random: IRandom, log: Log, receiver: IStoreReceiver, intervalMs: number) {
-    super('endpoints', store, random, log, receiver)
+  constructor (store: IStoreReads, random: IRandom, log: Log, receiver: IStoreReceiver, intervalMs: number, wait = systemWait) {
+    super('endpoints', store, random, log, receiver, wait)
     this.#intervalMs = intervalMs
   }
 
@@ -161,12 +203,10 @@
       this.receiver.endpointReadFailed(performance.now() - startedAt)
       return this.failed(read.error)
     }
-    this.succeeded()
     const malformed = read.value.items.filter(item => parseEndpoint(item) === undefined)
     this.#logMalformed(malformed)
     const endpoints = read.value.items.map(parseEndpoint).filter(e => e !== undefined)
-    this.receiver.updateEndpoints({ version: read.value.version, endpoints }, performance.now() - startedAt)
-    return 0
+    return this.answered(this.receiver.updateEndpoints({ version: read.value.version, endpoints }, performance.now() - startedAt))
   }
 
   #logMalformed (items: readonly StoreItem[]): void {
