Reject answers of the store without their items

An answer that named a revision but had no list of items was an empty list, for which all endpoints are gone; one whose items were no list, or had a null among them, threw in the reader, which ended for good. Found while looking for answers that can't be used. Such an answer is malformed now, and an item that can't be read is left out. Test: StoreClient, 'rejects an answer without its items'; it failed before (TypeError).

--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -35,17 +35,11 @@
   readonly version: ListVersion
 }
 
-interface WireItem {
-  readonly key?: unknown
-  readonly value?: unknown
-  readonly deleted?: unknown
-}
-
 /** Fields of the store's responses; `at` is the store's revision. */
-interface WireResponse extends WireItem {
-  readonly items?: readonly WireItem[]
-  readonly events?: readonly WireItem[]
-  readonly has_more?: boolean
+interface WireResponse {
+  readonly items?: unknown
+  readonly events?: unknown
+  readonly has_more?: unknown
   readonly at?: unknown
 }
 
@@ -57,13 +51,21 @@
 
 type CallKind = 'key' | 'range' | 'watch'
 
-function parseItem (wire: WireItem): StoreItem | undefined {
-  if (typeof wire.key !== 'string' || typeof wire.value !== 'string') return undefined
-  return { key: wire.key, value: Buffer.from(wire.value, 'base64') }
+function parseItem (wire: unknown): StoreItem | undefined {
+  if (typeof wire !== 'object' || wire === null) return undefined
+  const { key, value } = wire as { readonly key?: unknown, readonly value?: unknown }
+  return typeof key === 'string' && typeof value === 'string' ? { key, value: Buffer.from(value, 'base64') } : undefined
+}
+
+/** Items that can be read; undefined when there is no list of items. */
+function parseItems (wire: unknown): StoreItem[] | undefined {
+  return Array.isArray(wire) ? wire.map(parseItem).filter(item => item !== undefined) : undefined
 }
 
-function parseItems (wire: readonly WireItem[] | undefined): StoreItem[] {
-  return (wire ?? []).map(parseItem).filter(item => item !== undefined)
+function lastKeyOf (items: unknown): string | undefined {
+  const last: unknown = Array.isArray(items) ? items[items.length - 1] : undefined
+  const key = typeof last === 'object' && last !== null ? (last as { readonly key?: unknown }).key : undefined
+  return typeof key === 'string' ? key : undefined
 }
 
 function errorKindOf (status: number): StoreErrorKind {
@@ -95,7 +97,10 @@
 
   async key (key: string): Promise<Result<StoreRead, StoreError>> {
     const response = await this.#get('key', `/v1/kv-key?key=${encodeURIComponent(key)}`, READ_TIMEOUT_MS)
-    return response.map(({ body, version }) => ({ items: parseItems([body]), version }))
+    return response.andThen(({ body, version }) => {
+      const item = parseItem(body)
+      return item === undefined ? err(this.#error('malformed', 'no item')) : ok({ items: [item], version })
+    })
   }
 
   async range (prefix: string): Promise<Result<StoreRead, StoreError>> {
@@ -109,9 +114,11 @@
       const { body, version } = response.value
       first ??= version
       if (version.epoch !== first.epoch) return err(this.#error('history-gone', 'restored between two pages'))
-      items.push(...parseItems(body.items))
-      const last = body.items?.[body.items.length - 1]?.key
-      if (body.has_more !== true || typeof last !== 'string') return ok({ items, version: first })
+      const found = parseItems(body.items)
+      if (found === undefined) return err(this.#error('malformed', 'no items'))
+      items.push(...found)
+      const last = lastKeyOf(body.items)
+      if (body.has_more !== true || last === undefined) return ok({ items, version: first })
       after = last
     }
     return err(this.#error('malformed', `more than ${MAX_PAGES} pages`))
@@ -120,7 +127,10 @@
   async watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>> {
     const query = `path_prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`
     const response = await this.#get('watch', `/v1/kv-watch?${query}`, waitMs + WATCH_MARGIN_MS)
-    return response.map(({ body, version }) => ({ items: parseItems(body.events), version }))
+    return response.andThen(({ body, version }) => {
+      const items = parseItems(body.events)
+      return items === undefined ? err(this.#error('malformed', 'no events')) : ok({ items, version })
+    })
   }
 
   close (): void {
