Hold endpoints through the first lists of another epoch

Shortly after a restoration the lists lack endpoints that registered since the copy was made, and show as usable those that were emptied or left since. Both are written again within moments, as after an outage of the list. Class: a copy of the past taken for the present. Both errors: an endpoint that is really gone is tried for 2.2 s longer (its connections are refused, which closes it), one that came back under the same incarnation waits as long. Tests: EndpointTable, two; both failed before (b gone at once; b and c in use).

--- a/src/common/routing/EndpointTable.test.ts
+++ b/src/common/routing/EndpointTable.test.ts
@@ -85,4 +85,29 @@
     table.confirm(version(502), 300, 300)
     expect([taken, table.version, table.usable('pool').map(e => e.id)]).toEqual([[true, false], version(400, 2), ['a', 'b', 'c']])
   })
+
+  // Endpoints that had registered since the copy was made were gone for a moment, and with them their work.
+  it('retains endpoints that the first lists of a later epoch lack, for 2 s', () => {
+    const table = new EndpointTable()
+    table.update(list(500, 'a', 'b'), 0, 0)
+    const restored = (revision: number): EndpointList => ({ version: version(revision, 2), endpoints: [endpoint('a')] })
+    const usable = [0, 1_000, 2_300].map(ms => {
+      table.update(restored(400 + ms), 100 + ms, 100 + ms)
+      return table.usable('pool').map(e => e.id)
+    })
+    expect(usable).toEqual([['a', 'b'], ['a', 'b'], ['a']])
+  })
+
+  // A copy lists endpoints that were emptied or gone since as usable.
+  it('gives no new work to endpoints that were leaving or gone before a restoration, until their entries have been written again', () => {
+    const table = new EndpointTable()
+    table.update(list(500, 'a', 'b', 'c'), 0, 0)
+    table.update({ version: version(501), endpoints: [endpoint('a'), endpoint('b', { leaving: true })] }, 100, 100)
+    table.update({ version: version(400, 2), endpoints: [endpoint('a'), endpoint('b'), endpoint('c'), endpoint('d')] }, 200, 200)
+    const atReturn = table.usable('pool').map(e => e.id)
+    table.update({ version: version(401, 2), endpoints: [endpoint('a'), endpoint('b', { startedAtMs: 9 }), endpoint('c')] }, 300, 300)
+    const restarted = table.usable('pool').map(e => e.id)
+    table.confirm(version(402, 2), 2_500, 2_500)
+    expect([atReturn, restarted, table.usable('pool').map(e => e.id)]).toEqual([['a', 'd'], ['a', 'b', 'd'], ['a', 'b', 'c']])
+  })
 })
--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -1,16 +1,18 @@
 /**
  * Table of the endpoints in the last list that was read. An endpoint that is missing from a new list is removed, except
- * shortly after an outage of the list: entries of live endpoints may have expired during the outage, and the endpoints
- * register again moments later. A list that was only read late does not count as an outage.
+ * shortly after an outage of the list or a restoration of the platform from a copy: entries of live endpoints may have expired
+ * or been lost, and the endpoints register again moments later. A list that was only read late does not count as an outage.
+ * For the same time after a restoration, an endpoint that was known to leave gets no new work though the copy lists it as usable.
  */
 import { Emitter } from '../Emitter.js'
 import type { ListVersion } from '../generated/PeerDatagram.js'
 import { digestOfSet } from '../Hash.js'
 import { compareVersions, newerVersion } from '../peers/ListVersion.js'
+import { DepartedEndpoints } from './DepartedEndpoints.js'
 import { endpointKey, isSameIncarnation, type Endpoint, type EndpointList } from './Types.js'
 
 const LIST_OUTAGE_MS = 1_500 // after failed reads for this long, entries of live endpoints may have expired
-const RECOVERY_GRACE_MS = 2_200 // live endpoints are listed again within 2 s of the list's recovery
+const RECOVERY_GRACE_MS = 2_200 // live endpoints have written their entries again within 2 s of the recovery
 
 /** A change of one endpoint in the table. */
 export interface EndpointChange {
@@ -38,6 +40,10 @@
   /** By id; an endpoint that didn't change isn't hashed again. */
   #digested = new Map<string, DigestedEndpoint>()
   #graceUntil = -Infinity
+  #restoredUntil = -Infinity
+  /** True while the table differs from the list by an endpoint that is retained or held as leaving. */
+  #isProvisional = false
+  readonly #departed = new DepartedEndpoints()
   #failingSince: number | undefined
   readonly #changed = new Emitter<EndpointChange>()
   readonly #regrouped = new Emitter<ReadonlyMap<string, readonly Endpoint[]>>()
@@ -81,8 +87,7 @@
   confirm (version: ListVersion, listedAt: number, now: number): void {
     this.#version = newerVersion(this.#version, version)
     this.#listedAt = Math.max(this.#listedAt, listedAt)
-    const hasRetained = this.#endpoints.size > this.#listed.length
-    if (hasRetained && now >= this.#graceUntil) this.update(this.list, this.#listedAt, now)
+    if (this.#isProvisional && now >= this.#graceUntil) this.update(this.list, this.#listedAt, now)
   }
 
   /** Records a failed read of the list. @param at when the read began. */
@@ -94,16 +99,15 @@
   update (list: EndpointList, listedAt: number, now: number): boolean {
     if (compareVersions(list.version, this.#version) < 0) return false
     const sinceListMs = listedAt - this.#listedAt
-    const outageMs = this.#failingSince === undefined ? 0 : listedAt - Math.max(this.#failingSince, this.#listedAt)
-    this.#failingSince = undefined
-    if (outageMs > LIST_OUTAGE_MS) this.#graceUntil = now + RECOVERY_GRACE_MS
-    const next = new Map(list.endpoints.map(e => [e.id, e]))
+    this.#startGrace(list.version, listedAt, now)
+    const next = new Map(list.endpoints.map(e => [e.id, this.#holdLeaving(e, now)]))
     for (const [id, old] of this.#endpoints) {
       if (next.has(id)) continue
       if (now < this.#graceUntil && !old.leaving) next.set(id, old)
-      else this.#changed.fire({ endpoint: old, kind: 'gone', sinceListMs })
+      else this.#emitGone(old, sinceListMs, now)
     }
-    for (const e of next.values()) this.#emitChange(e, sinceListMs)
+    for (const e of next.values()) this.#emitChange(e, sinceListMs, now)
+    this.#isProvisional = next.size > list.endpoints.length || list.endpoints.some(e => next.get(e.id) !== e)
     this.#endpoints = next
     this.#byService = groupUsable(next.values())
     this.#listed = list.endpoints
@@ -114,6 +118,23 @@
     return true
   }
 
+  /** Starts the time in which entries may be missing or out of date, after an outage or a restoration. */
+  #startGrace (version: ListVersion, listedAt: number, now: number): void {
+    const outageMs = this.#failingSince === undefined ? 0 : listedAt - Math.max(this.#failingSince, this.#listedAt)
+    this.#failingSince = undefined
+    const isRestored = this.#listedAt !== -Infinity && version.epoch > this.#version.epoch
+    if (isRestored) this.#restoredUntil = now + RECOVERY_GRACE_MS
+    if (isRestored || outageMs > LIST_OUTAGE_MS) this.#graceUntil = now + RECOVERY_GRACE_MS
+  }
+
+  /** The endpoint as listed, or as leaving when it was known to be, shortly after a restoration. */
+  #holdLeaving (e: Endpoint, now: number): Endpoint {
+    if (now >= this.#restoredUntil || e.leaving) return e
+    const old = this.#endpoints.get(e.id)
+    const wasLeaving = old !== undefined && old.leaving && isSameIncarnation(old, e)
+    return wasLeaving || this.#departed.has(e) ? { ...e, leaving: true } : e
+  }
+
   #updateDigest (): void {
     const before = this.#digested
     this.#digested = new Map(this.#listed.map(e => [e.id, digestEndpoint(e, before.get(e.id))]))
@@ -121,10 +142,15 @@
     for (const { digest } of this.#digested.values()) this.#digest = (this.#digest + digest) >>> 0
   }
 
-  #emitChange (e: Endpoint, sinceListMs: number): void {
+  #emitGone (e: Endpoint, sinceListMs: number, now: number): void {
+    this.#departed.add(e, now)
+    this.#changed.fire({ endpoint: e, kind: 'gone', sinceListMs })
+  }
+
+  #emitChange (e: Endpoint, sinceListMs: number, now: number): void {
     const old = this.#endpoints.get(e.id)
     const restarted = old !== undefined && !isSameIncarnation(old, e)
-    if (restarted) this.#changed.fire({ endpoint: old, kind: 'gone', sinceListMs })
+    if (restarted) this.#emitGone(old, sinceListMs, now)
     if (old === undefined || restarted) this.#changed.fire({ endpoint: e, kind: 'joined', sinceListMs })
     else if (e.leaving && !old.leaving) this.#changed.fire({ endpoint: e, kind: 'leaving', sinceListMs })
     else if (old.slots !== e.slots) this.#changed.fire({ endpoint: e, kind: 'changed', sinceListMs })
