--- a/src/gateway/ConfigHolder.ts
+++ b/src/gateway/ConfigHolder.ts
@@ -38,11 +38,12 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, this.#clock.nowMs() - ageMs)
   }
 
-  /** Puts a configuration into force if its revision is higher than that of the current one. */
-  update (config: RoutingConfig): void {
+  /** Puts a configuration into force if its revision is higher than that of the current one; returns false otherwise. */
+  update (config: RoutingConfig): boolean {
     const current = this.#table?.config
-    if (current !== undefined && !supersedes({ revision: config.revision, digest: '' }, { revision: current.revision, digest: '' })) return
+    if (current !== undefined && !supersedes({ revision: config.revision, digest: '' }, { revision: current.revision, digest: '' })) return false
     this.#table = new RouteTable(config)
     this.#changed.fire(this.#table)
+    return true
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -91,7 +91,7 @@
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
     this.#peers = this.own(new MembershipTask(self, clock, random, metrics, log, () => this.#config.revision))
     this.#gossip = this.own(new GossipTask(this.#peers, clock, random, log, this.#gossipHost()))
-    this.#snapshots = this.own(new SnapshotExchange(this.#snapshotSource(), log))
+    this.#snapshots = this.own(new SnapshotExchange(this.#snapshotSource(), clock, log))
     const sessionAffinity = this.own(new SessionAffinityTask(this.#peers, clock, this.#pool))
     this.#promptGuard = this.own(new PromptGuard(this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting))
     this.own(this.#pool.table.onChange(({ endpoint, kind }) => { if (kind === 'gone') this.#promptGuard.recordGone(endpoint) }))
