Pause the own interface's watches when an answer changes nothing

Both watches now wait before the next call unless the last one waited itself or changed what is known.

--- a/src/router/configuration/ConfigTask.ts
+++ b/src/router/configuration/ConfigTask.ts
@@ -134,14 +134,18 @@
         await sleep(ROLE_CHECK_INTERVAL_MS)
         continue
       }
-      const read = await this.#platform.revision(this.#platformRevision, WATCH_TIMEOUT_MS)
+      const before = this.#platformRevision
+      const startedAt = performance.now()
+      const read = await this.#platform.revision(before, WATCH_TIMEOUT_MS)
       if (this.isDisposed) return
       if (read.isErr()) {
         this.#log.debug({ ...read.error }, 'cannot read the platform')
         await sleep(RETRY_DELAY_MS)
         if (this.#current === undefined) await this.#fetchFromPeers()
-      } else if (read.value !== this.#platformRevision && !(await this.#readPlatform())) {
-        await sleep(RETRY_DELAY_MS)
+      } else {
+        if (read.value !== before) await this.#readPlatform()
+        const hasWaited = performance.now() - startedAt >= RETRY_DELAY_MS
+        if (!hasWaited && this.#platformRevision === before) await sleep(RETRY_DELAY_MS)
       }
     }
   }
--- a/src/router/configuration/PlatformListTask.ts
+++ b/src/router/configuration/PlatformListTask.ts
@@ -32,8 +32,12 @@
 
   async #watch (): Promise<void> {
     while (!this.isDisposed) {
-      if (await this.#readPlatform(WATCH_TIMEOUT_MS)) continue
-      await this.#readPeer()
+      const known = this.#fleet.list
+      const startedAt = performance.now()
+      const answered = await this.#readPlatform(WATCH_TIMEOUT_MS)
+      const hasWaited = performance.now() - startedAt >= RETRY_DELAY_MS
+      if (answered && (hasWaited || this.#fleet.list !== known)) continue
+      if (!answered) await this.#readPeer()
       await sleep(RETRY_DELAY_MS)
     }
   }
