Recognise events whose lines end with CR, and empty lines between events

No event of a stream whose lines end with CR was passed on, and at its end it counted as broken off; the same verdict met a whole stream with one empty line too many after an event. Such a stream is one that the field's convention allows. The framer now looks at the ends of lines (LF, CR LF, CR) and takes an empty line as the end of an event only after a line with content. Found while looking for events that end otherwise than the framer expects. Tests: Sse, three kinds of line ends at every split; all three failed before.

--- a/src/common/sse/Sse.test.ts
+++ b/src/common/sse/Sse.test.ts
@@ -31,15 +31,26 @@
     }), RUNS)
   })
 
-  it('recognises events whose lines end with CR LF, however the input is split', () => {
-    const bytes = encoder.encode('id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n')
+  // Of such streams no event was passed on, and at its end the stream counted as broken off; so did one with one empty line too many.
+  it.each([['CR LF', '\r\n'], ['CR', '\r'], ['LF', '\n']])('recognises events whose lines end with %s, however the input is split', (_name, lineEnd) => {
+    const text = ['id: 1', 'data: a', '', 'id: 2', 'data: b', '', ''].join(lineEnd) + lineEnd
+    const bytes = encoder.encode(text)
     for (let at = 0; at <= bytes.length; at++) {
       const framer = new SseFramer()
-      const events = framer.push(bytes.subarray(0, at)).events + framer.push(bytes.subarray(at)).events
-      expect([at, events, framer.pendingBytes]).toEqual([at, 2, 0])
+      const frames = [framer.push(bytes.subarray(0, at)), framer.push(bytes.subarray(at))]
+      const output = frames.map(f => new TextDecoder().decode(f.bytes)).join('')
+      expect([at, output, frames[0]!.events + frames[1]!.events, framer.pendingBytes]).toEqual([at, text, 2, 0])
     }
   })
 
+  it('keeps an event that lacks its empty line', () => {
+    const pending = ['data: a\r', 'data: a\n', 'data: a\r\n', 'data: a'].map(text => {
+      const framer = new SseFramer()
+      return [framer.push(encoder.encode(text)).events, framer.pendingBytes]
+    })
+    expect(pending).toEqual([[0, 8], [0, 8], [0, 9], [0, 7]])
+  })
+
   it('detects the end marker when it is split over several chunks', () => {
     const framer = new SseFramer()
     expect(framer.push(encoder.encode('id: 9\ndata: [DO')).done).toBe(false)
--- a/src/common/sse/SseFramer.ts
+++ b/src/common/sse/SseFramer.ts
@@ -1,4 +1,4 @@
-/** Splits a byte stream into complete server-sent events without parsing them. */
+/** Splits a byte stream into complete server-sent events without parsing them. A line ends with LF, CR LF or CR; an empty one ends an event. */
 
 const LF = 10
 const CR = 13
@@ -24,9 +24,19 @@
   return true
 }
 
+/** Position of the first byte from `from` on that ends a line; -1 when there is none. */
+function lineEnd (bytes: Uint8Array, from: number, hasCr: boolean): number {
+  if (!hasCr) return bytes.indexOf(LF, from)
+  let at = from
+  while (at < bytes.length && bytes[at] !== LF && bytes[at] !== CR) at++
+  return at < bytes.length ? at : -1
+}
+
 /** Buffers the incomplete tail, so that the output always ends between two events. */
 export class SseFramer {
   #tail: Uint8Array | undefined
+  /** True when the output ended with a CR: an LF that follows belongs to it. */
+  #afterCr = false
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes (): number {
@@ -41,22 +51,31 @@
   /** Adds a chunk and returns the events that are complete. */
   push (chunk: Uint8Array): SseFrame {
     const input = this.#join(chunk)
+    const hasCr = input.includes(CR)
     let events = 0
-    let end = 0
-    for (let at = input.indexOf(LF); at >= 0; at = input.indexOf(LF, at + 1)) {
-      const blankLineEnd = input[at + 1] === CR ? at + 2 : at + 1
-      if (input[blankLineEnd] !== LF) continue
-      events++
-      at = blankLineEnd
-      end = at + 1
+    let lastEventEnd = 0
+    let end = this.#afterCr && input[0] === LF ? 1 : 0
+    let lineStart = end
+    for (let at = lineEnd(input, lineStart, hasCr); at >= 0; at = lineEnd(input, lineStart, hasCr)) {
+      const next = input[at] === CR && input[at + 1] === LF ? at + 2 : at + 1
+      if (at === lineStart) {
+        if (lineStart > end) {
+          events++
+          lastEventEnd = next
+        }
+        end = next
+      }
+      lineStart = next
     }
+    if (input.length > 0) this.#afterCr = end === input.length && input[end - 1] === CR
     this.#tail = end === input.length ? undefined : input.subarray(end)
-    return { bytes: input.subarray(0, end), events, done: endsWithDone(input, end) }
+    return { bytes: input.subarray(0, end), events, done: endsWithDone(input, lastEventEnd) }
   }
 
   /** Discards an incomplete event, as a resumed stream sends it again. */
   reset (): void {
     this.#tail = undefined
+    this.#afterCr = false
   }
 
   #join (chunk: Uint8Array): Uint8Array {
--- a/src/gateway/EventStream.ts
+++ b/src/gateway/EventStream.ts
@@ -58,7 +58,7 @@
     this.#runEvents += events
     const before = this.#lastId
     this.#hasNewEvent = false
-    if (bytes.length === 0) return bytes
+    if (events === 0) return bytes
     this.#passedOn = true
     if (this.#resumable) this.#trackIds(bytes)
     this.#hasNewEvent = this.#lastId === undefined || this.#lastId !== before
