Soak: restore the store from a copy; workers that answer without length or chunks

The soak's store lost history but never acknowledged writes, and its workers always marked the end of an answer. New: the store goes back to a copy and what was lost is written again soon after; three modes of workers without length and chunks. Not among them: a worker that crashes within such an answer, as its proxy goes on accepting connections.

--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -14,8 +14,10 @@
 const MEAN_EXTRA_DURATION_MS = 1_500
 const MEAN_LINGER_MS = 1_500 // time that a leaving worker keeps serving beyond the drain time
 const ENTRY_TTL_MS = 3_600 // three heartbeats
+const RESTORE_MS = 300 // time that the store is away while it goes back to a copy
+const MEAN_REWRITE_MS = 400 // until what was lost is written again
 const MEAN_DOWNTIME_MS = 500 // from exit to restart of a gateway
-const WORKER_MODES: readonly WorkerMode[] = ['full', 'failing', 'losing', 'tearing', 'mute', 'confused']
+const WORKER_MODES: readonly WorkerMode[] = ['full', 'failing', 'losing', 'tearing', 'mute', 'confused', 'unframed', 'unframed head', 'unframed whole']
 const PROXY_MODES: readonly ProxyMode[] = ['reset', 'drop-to-target', 'drop-to-client', 'drop-all']
 
 /** Injects the faults of a run. */
@@ -40,7 +42,7 @@
   async run (seconds: number): Promise<void> {
     const end = performance.now() + seconds * 1_000 - FAULT_FREE_TAIL_MS
     const kinds = [
-      this.#kill, this.#stop, this.#pause, this.#reload, this.#killAll, this.#store, this.#storeLink, this.#callerLink, this.#workerLink,
+      this.#kill, this.#stop, this.#pause, this.#reload, this.#killAll, this.#store, this.#restoreStore, this.#storeLink, this.#callerLink, this.#workerLink,
       this.#workerFault, this.#crash, this.#leave, this.#publish, this.#publish
     ]
     const running: Array<Promise<void>> = []
@@ -164,6 +166,21 @@
     })
   }
 
+  /** Sets the store back to a copy; what was written since is lost, and written again soon after. */
+  async #restoreStore (): Promise<void> {
+    await this.#withFreeTarget('restored store', [{ name: 'store' }], async () => {
+      const { store } = this.#site
+      const copy = store.copy()
+      await sleep(this.#drawDurationMs())
+      store.mode = 'silent'
+      await sleep(RESTORE_MS)
+      store.restore(copy)
+      store.mode = 'serves'
+      await sleep(this.#random.exponential(MEAN_REWRITE_MS))
+      this.#site.rewriteStore()
+    })
+  }
+
   async #storeLink (): Promise<void> {
     await this.#withFreeTarget('store link', this.#site.gateways, async g => { await this.#disturbLink(g.storeProxy) })
   }
--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -72,6 +72,8 @@
   /** Routes added during the run, in the order in which they were added. */
   readonly extraRoutes: ExtraRoute[] = []
   readonly #size: SoakSize
+  /** What was last written to the store, by key; undefined when the key was deleted. */
+  readonly #written = new Map<string, object | undefined>()
   #version = 1
   #workersCreated = 0
   #peerPort = 0
@@ -121,13 +123,13 @@
 
   /** Writes the entry of a worker to the store. */
   writeEntry (w: SoakWorker, state: 'ready' | 'draining'): void {
-    this.store.put(workerEntryKey(w.name), w.worker.storeEntry(w.service, state, w.proxyPort))
+    this.#write(workerEntryKey(w.name), w.worker.storeEntry(w.service, state, w.proxyPort))
     if (state === 'draining') w.leavingAt = performance.now()
   }
 
   /** Deletes the entry of a worker from the store. */
   deleteEntry (w: SoakWorker): void {
-    this.store.delete(workerEntryKey(w.name))
+    this.#write(workerEntryKey(w.name), undefined)
     w.leavingAt = Math.min(w.leavingAt, performance.now())
   }
 
@@ -144,7 +146,18 @@
     this.#version += 3
     const basic = REQUEST_KINDS.map(kind => ({ name: kind, kind, service: kind === 'read' || kind === 'write' ? 'orders' : 'engines' }))
     const extra = this.extraRoutes.filter(r => r.removedAt === Infinity).map(r => ({ name: r.name, kind: 'read' as const, service: 'orders' }))
-    this.store.put(CONFIGURATION_KEY, configurationRecord(this.#version, [...basic, ...extra], ROUTE_TIMEOUT_MS))
+    this.#write(CONFIGURATION_KEY, configurationRecord(this.#version, [...basic, ...extra], ROUTE_TIMEOUT_MS))
+  }
+
+  /** Writes everything again, as workers and operator do after the store has lost it. */
+  rewriteStore (): void {
+    for (const [key, value] of this.#written) this.#write(key, value)
+  }
+
+  #write (key: string, value: object | undefined): void {
+    this.#written.set(key, value)
+    if (value === undefined) this.store.delete(key)
+    else this.store.put(key, value)
   }
 
   startGateway (g: SoakGateway): void {
