Space the crashes of a test so that a busy machine doesn't join them; share test fixtures

What is asserted stays; the crashes are 300 ms apart and the work takes 1 s, so that the order holds with 200 ms to spare. The receiver of the readers' tests and the choice of the first worker, which stood twice, are one each.

--- a/src/platform/BrokenAnswer.test.ts
+++ b/src/platform/BrokenAnswer.test.ts
@@ -2,9 +2,9 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker, type WorkerMode } from '../standin/PlatformWorker.js'
+import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, sleep, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, setModeOfFirstWorker, sleep, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
 
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 const EVENTS = [1, 2, 3, 4].map(i => `id: ${i}\ndata: token${i}\n\n`)
@@ -17,15 +17,6 @@
 const logLines: LogLine[] = []
 const stops: Array<() => void> = []
 
-/** Sets the mode of the worker that requests with this path reach first, and returns it. */
-async function setModeOfFirstWorker (path: string, more: Readonly<Record<string, string>>, mode: WorkerMode): Promise<PlatformWorker> {
-  await call(gateway.port, path, more)
-  const served = workers.find(w => w.executedIds.length > 0)!
-  served.mode = mode
-  workers.forEach(w => { w.executedIds.length = 0 })
-  return served
-}
-
 /** Sends a request as a caller of HTTP/1.0, to which no chunks can be sent; returns the body and how the connection ended. */
 async function callWithHttp10 (path: string): Promise<{ readonly body: string, readonly end: 'closed' | 'reset' }> {
   const headers = ['Host: a.example', 'Attempt-Id: r10', 'Deadline-Ms: 3000', 'Authorization: Bearer k1', 'Content-Length: 0', ...Object.entries(PROMPT).map(h => h.join(': '))]
@@ -59,14 +50,14 @@
 describe('an answer without length or chunks', () => {
   // A crash exactly between two events looked like the end of the stream.
   it('is aborted when a stream ends between two events as its endpoint ends', async () => {
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed crash')
+    await setModeOfFirstWorker(gateway.port, workers, '/stream/1', PROMPT, 'unframed crash')
     const answer = await call(gateway.port, '/stream/1', PROMPT)
     expect([answer.status, answer.complete, answer.body]).toEqual([200, false, EVENTS[0]])
   })
 
   // The same for a route that allows another endpoint to go on: the caller got the first event alone.
   it('is resumed at another endpoint when its own ends between two events', async () => {
-    await setModeOfFirstWorker('/stream/again/1', PROMPT, 'unframed crash')
+    await setModeOfFirstWorker(gateway.port, workers, '/stream/again/1', PROMPT, 'unframed crash')
     const answer = await call(gateway.port, '/stream/again/1', PROMPT)
     expect([answer.status, answer.complete, answer.body]).toEqual([200, true, EVENTS.join('')])
   })
@@ -115,7 +106,7 @@
 
   // The events of the first run counted for the second one, so that its empty answer looked whole.
   it('is aborted when the endpoint that resumes a stream ends before its first event', async () => {
-    const first = await setModeOfFirstWorker('/stream/again/1', PROMPT, 'tearing')
+    const first = await setModeOfFirstWorker(gateway.port, workers, '/stream/again/1', PROMPT, 'tearing')
     workers.find(w => w !== first)!.mode = 'unframed head'
     const answer = await call(gateway.port, '/stream/again/1', PROMPT)
     expect([answer.status, answer.complete, answer.body]).toEqual([200, false, EVENTS[0]])
@@ -135,7 +126,7 @@
 describe('a caller of HTTP/1.0', () => {
   it('gets a reset when its answer is broken off, and a normal end of one that is whole', async () => {
     const whole = await callWithHttp10('/stream/1')
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
+    await setModeOfFirstWorker(gateway.port, workers, '/stream/1', PROMPT, 'tearing')
     const broken = await callWithHttp10('/stream/1')
     expect([whole, broken.end]).toEqual([{ body: EVENTS.join(''), end: 'closed' }, 'reset'])
   })
--- a/src/platform/FatalPart.test.ts
+++ b/src/platform/FatalPart.test.ts
@@ -13,6 +13,8 @@
 const FATAL = 'bad0'
 const FATAL_REQUESTS = 24
 const FATAL_INTERVAL_MS = 120
+const SLOW_WORK_MS = 1_000
+const CRASH_INTERVAL_MS = 300 // engines that end within 100 ms count once
 const MAX_CRASHES = 5 // engines that the users allow one part to end
 const MAX_LATER_REQUESTS = 3 // requests with it that may reach engines after that
 
@@ -131,12 +133,12 @@
   })
 
   it('is taken back from engines that have not begun to answer when it is blocked', async () => {
-    site = new FatalPartSite(400)
+    site = new FatalPartSite(SLOW_WORK_MS)
     await site.start()
     const pending: Array<Promise<CallResult>> = []
     for (let i = 0; i < 5; i++) { // the first three end their engines while the last two wait for their answers
       pending.push(site.sendFatalTo(i))
-      await sleep(i < 3 ? 150 : 50)
+      await sleep(i < 3 ? CRASH_INTERVAL_MS : CRASH_INTERVAL_MS / 6)
     }
     const statuses = (await Promise.all(pending)).map(a => a.status)
     expect([site.crashes, statuses.slice(3)]).toEqual([3, [502, 502]]) // they may have run
--- a/src/platform/RequestPath.test.ts
+++ b/src/platform/RequestPath.test.ts
@@ -2,9 +2,9 @@
 import { request } from 'node:http'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker, type WorkerMode } from '../standin/PlatformWorker.js'
+import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, LIST_INTERVAL_MS, sleep, startGateway, waitUntil, type LogLine, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, LIST_INTERVAL_MS, setModeOfFirstWorker, sleep, startGateway, waitUntil, type LogLine, type RunningGateway } from './TestUtils.test.js'
 
 const PROPAGATION_MS = 50
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
@@ -21,15 +21,6 @@
 let peerPort: number
 const stops: Array<() => void> = []
 
-/** Sets the mode of the worker that receives requests with this path first, and returns that worker. */
-async function setModeOfFirstWorker (path: string, more: Readonly<Record<string, string>>, mode: WorkerMode): Promise<PlatformWorker> {
-  await call(first.port, path, more)
-  const served = workers.find(w => w.executedIds.length > 0)!
-  served.mode = mode
-  workers.forEach(w => { w.executedIds.length = 0 })
-  return served
-}
-
 beforeEach(async () => {
   store = new PlatformStore()
   storePort = await store.listen()
@@ -113,7 +104,7 @@
 
 describe('streams', () => {
   it('resume at another worker after the last complete event where the route allows it', async () => {
-    const failingWorker = await setModeOfFirstWorker('/stream/again/1', PROMPT, 'tearing')
+    const failingWorker = await setModeOfFirstWorker(first.port, workers, '/stream/again/1', PROMPT, 'tearing')
     const answer = await call(first.port, '/stream/again/1', PROMPT)
     expect([answer.body, answer.complete, answer.signature?.slice(0, 2)]).toEqual([EVENTS, true, failingWorker === workers[0] ? 'w1' : 'w2'])
   })
@@ -124,7 +115,7 @@
         w.mode = 'well'
         w.executedIds.length = 0
       })
-      const stalled = await setModeOfFirstWorker('/stream/again/1', PROMPT, mode)
+      const stalled = await setModeOfFirstWorker(first.port, workers, '/stream/again/1', PROMPT, mode)
       const answer = await call(first.port, '/stream/again/1', PROMPT)
       expect([mode, answer.body, answer.complete, workers.map(w => w.executedIds.length)]).toEqual([mode, EVENTS, true, [1, 1]])
       expect(stalled.cancelled).toBeGreaterThan(0)
@@ -147,14 +138,14 @@
   })
 
   it('are aborted where the route does not allow it, so that they do not look complete', async () => {
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
+    await setModeOfFirstWorker(first.port, workers, '/stream/1', PROMPT, 'tearing')
     const answer = await call(first.port, '/stream/1', PROMPT)
     expect([answer.complete, workers.reduce((sum, w) => sum + w.executedIds.length, 0)]).toEqual([false, 1])
   })
 
   // An answer that was broken off looked whole to its caller, and counted as a success of the endpoint.
   it('are aborted when an answer without length or chunks ends within an event, whether or not the route allows to resume', async () => {
-    const worker = await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed')
+    const worker = await setModeOfFirstWorker(first.port, workers, '/stream/1', PROMPT, 'unframed')
     const answer = await call(first.port, '/stream/1', PROMPT)
     await waitUntil(() => logLines.some(line => line.code === 'response_lost'))
     expect([answer.status, answer.complete, answer.body, worker.executedIds.length]).toEqual([200, false, 'id: 1\ndata: token1\n\n', 1])
@@ -162,13 +153,13 @@
 
   // A crash right after the head of such an answer gave the caller an empty stream that looked complete.
   it('are aborted when an answer without length or chunks ends before its first event', async () => {
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed head')
+    await setModeOfFirstWorker(first.port, workers, '/stream/1', PROMPT, 'unframed head')
     const answer = await call(first.port, '/stream/1', PROMPT)
     expect([answer.status, answer.complete, answer.body]).toEqual([200, false, ''])
   })
 
   it('log the shared parts of the prompt and the age of the answer when the worker closes the connection', async () => {
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'tearing')
+    await setModeOfFirstWorker(first.port, workers, '/stream/1', PROMPT, 'tearing')
     await call(first.port, '/stream/1', PROMPT)
     await waitUntil(() => logLines.some(line => line.parts !== undefined))
     const line = logLines.find(l => l.parts !== undefined)!
@@ -177,7 +168,7 @@
 
   // Logs couldn't tell which answers had no length, nor how many events had come when one ended.
   it('log how the end of each answer is marked, and the events before it', async () => {
-    await setModeOfFirstWorker('/stream/1', PROMPT, 'unframed')
+    await setModeOfFirstWorker(first.port, workers, '/stream/1', PROMPT, 'unframed')
     await call(first.port, '/stream/1', PROMPT)
     const requestLines = (): LogLine[] => logLines.filter(line => line.attempts !== undefined)
     await waitUntil(() => requestLines().length === 2)
--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -11,6 +11,22 @@
 const DELAY_MS = 120
 
 const store = new PlatformStore()
+
+/** A reader's receiver to which a read is always due and whose lists are never taken. */
+function createReceiver (changes: Partial<IStoreReceiver>): IStoreReceiver {
+  return {
+    isConfigReader: true,
+    onReaderChange: () => toDisposable(() => {}),
+    configWaitMs: () => 0,
+    listWaitMs: () => 0,
+    endpointReadFailed: () => {},
+    updateConfig: () => {},
+    confirmConfig: () => {},
+    updateEndpoints: () => false,
+    ...changes
+  }
+}
+
 afterEach(() => { store.close() })
 
 describe('EndpointReader', () => {
@@ -18,20 +34,14 @@
     const client = new StoreClient('127.0.0.1', await store.listen(), new GatewayMetrics())
     store.delayMs = DELAY_MS
     const ageMs = await new Promise<number>(resolve => {
-      const receiver = {
+      const receiver = createReceiver({
         isConfigReader: false,
-        onReaderChange: () => toDisposable(() => {}),
-        configWaitMs: () => 0,
-        listWaitMs: () => 0,
-        endpointReadFailed: () => {},
-        updateConfig: () => {},
-        confirmConfig: () => {},
-        updateEndpoints: (_list: unknown, age: number) => {
+        updateEndpoints: (_list, age) => {
           reader.dispose()
           resolve(age)
           return true
         }
-      }
+      })
       const reader = new EndpointReader(client, new SeededRandom(1), pino({ level: 'silent' }), receiver, 1_000)
       reader.run().catch(() => {})
     })
@@ -62,22 +72,13 @@
   'history gone': () => failure('history-gone')
 }
 
-/** Counts the calls of a reader in virtual time, for a receiver to which a read is always due and whose lists are never taken. */
+/** Counts the calls of a reader in virtual time. */
 async function countCalls (kind: 'config' | 'endpoints', answer: (call: number) => Answer): Promise<number> {
   let calls = 0
   let elapsedMs = 0
   const next = async (): Promise<Answer> => await Promise.resolve(answer(++calls))
   const reads: IStoreReads = { key: next, range: next, watch: next }
-  const receiver: IStoreReceiver = {
-    isConfigReader: true,
-    onReaderChange: () => toDisposable(() => {}),
-    configWaitMs: () => 0,
-    listWaitMs: () => 0,
-    endpointReadFailed: () => {},
-    updateConfig: () => {},
-    confirmConfig: () => {},
-    updateEndpoints: () => false
-  }
+  const receiver = createReceiver({})
   const wait = async (ms: number): Promise<void> => {
     elapsedMs += ms
     if (elapsedMs >= VIRTUAL_MS) reader.dispose()
--- a/src/platform/TestUtils.test.ts
+++ b/src/platform/TestUtils.test.ts
@@ -6,6 +6,7 @@
 import { Gateway } from '../gateway/Gateway.js'
 import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
 import { SystemClock } from '../router/telemetry/Clock.js'
+import type { PlatformWorker, WorkerMode } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
 import { RequestCodec } from './RequestCodec.js'
 import { StoreClient } from './StoreClient.js'
@@ -117,3 +118,14 @@
 export function isKnownRed (test: string): boolean {
   return process.env.RUN_KNOWN_RED === undefined && readFileSync('KNOWN-RED.txt', 'utf8').includes(test)
 }
+
+/** Sets the mode of the worker that requests with this path reach first, and returns it. */
+export async function setModeOfFirstWorker (
+  port: number, workers: readonly PlatformWorker[], path: string, more: Readonly<Record<string, string>>, mode: WorkerMode
+): Promise<PlatformWorker> {
+  await call(port, path, more)
+  const served = workers.find(w => w.executedIds.length > 0)!
+  served.mode = mode
+  workers.forEach(w => { w.executedIds.length = 0 })
+  return served
+}
