--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -49,7 +49,7 @@
   return server.address().port
 }
 
-async function freePort (address) {
+export async function freePort (address) {
   const server = createTcpServer()
   const port = await listenOn(server, 0, address)
   await new Promise(resolve => server.close(resolve))
@@ -202,6 +202,49 @@
   }
 }
 
+/** A link that can be cut: what is sent on it then goes nowhere, without a reset, and new connections hang. */
+export class CutLink {
+  isCut = false
+  /** Called with the first line of each piece that is sent from here. */
+  onData = () => {}
+  #server
+  #sockets = new Set()
+
+  constructor (host, port) {
+    this.#server = createTcpServer({ noDelay: true }, from => {
+      const to = connect({ host, port, noDelay: true })
+      for (const [a, b] of [[from, to], [to, from]]) {
+        this.#sockets.add(a)
+        a.on('data', chunk => {
+          if (this.isCut) return
+          if (a === from) this.onData(chunk.toString('latin1', 0, 100).split('\r\n')[0])
+          b.write(chunk)
+        })
+        a.on('error', () => {})
+        a.on('close', () => {
+          this.#sockets.delete(a)
+          if (!this.isCut) b.destroy()
+        })
+      }
+    })
+  }
+
+  async listen () {
+    this.port = await listenOn(this.#server, 0, '127.0.0.1')
+  }
+
+  /** Ends the cut: connections that it has silenced are reset, as their bytes are lost. */
+  heal () {
+    this.isCut = false
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  close () {
+    this.#server.close()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+}
+
 /** Routes by name; the first segment of a path is the name of its route. */
 export function configuration (version, routes, more = {}) {
   return {
@@ -342,10 +385,13 @@
   /** Starts the gateways and waits until each is ready. */
   async start (zones, config) {
     await this.store.listen()
+    this.storeLinks = zones.map(() => new CutLink('127.0.0.1', this.store.port))
+    for (const link of this.storeLinks) await link.listen()
+    this.links.push(...this.storeLinks)
     this.store.put('op/config', config)
     const ports = { peer: await freePort('127.0.0.1'), front: await freePort('127.0.0.1'), readiness: await freePort('127.0.0.1'), control: await freePort('127.0.0.1') }
     const seeds = zones.slice(0, 3).map((_, i) => `127.${SUBNET}.7.${10 + i}`)
-    this.gateways = zones.map((zone, i) => new Gateway(this.#dir, i, zone, ports, this.store.port, seeds))
+    this.gateways = zones.map((zone, i) => new Gateway(this.#dir, i, zone, ports, this.storeLinks[i].port, seeds))
     for (const g of this.gateways) g.start()
     await this.waitUntilReady(this.gateways)
     await sleep(1_500) // until the gateways have found each other
