--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,74 +1,108 @@
 /**
- * A gateway stands still for a few seconds while clients open new connections. A connection that it had accepted, but whose
- * request it had not read, is answered 408 when it goes on; the request is read right after that, and runs.
+ * A worker hands out wrong bytes: some of its answers have a body of small chunks that never ends. The gateways keep each
+ * chunk of an answer as a buffer of its own and bound only their bytes: the heap is full long before, and the process ends.
  */
-import { sendOnce } from '../lib/client.mjs'
+import { Agent } from 'node:http'
+import { fetchOnce } from '../lib/http-client.mjs'
 import { configuration, runCase, sleep, TROUBLE } from '../lib/site.mjs'
 
-const CLIENT_DELAY_MS = 3 // one way to clients, as in the sheet of abalorios-cusco
-const REQUESTS_PER_SEC = 120 // at each gateway
-const FREEZE_MS = 3_600 // node_freeze of glowline-cairo: for_s = 4.0
-const OUT_OF_ROTATION_MS = 2_000 // two misses of the readiness check, once a second
-const FREEZES = 10
-const WORK_MS = 20
-const PROMISES = [408, 421, 429, 503]
+const CLIENTS = 40 // at each gateway, each with one kept connection
+const THINK_MS = 500
+const WORK_MS = 86 // trade-app of glowline-cairo
+const WORKER_ZONES = ['a', 'b', 'c', 'a', 'b']
+const GARBLERS = 3 // of five workers: garble of glowline-cairo has share = 0.6, x = 0.03, for_s = 5.0
+const GARBLE_FRACTION = 0.03
+const GARBLE_MS = 5_000
+const GARBLE_TIMES = 8
+const PAUSE_MS = 4_000
+const CHUNK_BYTES = 4
+const WRITE_BYTES = 65_536
+const DEADLINE_MS = 4_002 // stock-reserve of glowline-cairo
+const TIMEOUT_MS = 4_000
+const RESTART_MS = 1_000
+const ENDS = 3 // "two at least [...] three times in the day"
+const MACHINES = 2
 
 await runCase(import.meta.url, async (site, record) => {
-  for (const zone of ['a', 'b']) {
-    await site.addWorker(`w-${zone}`, 'orders', (_req, res, headers) => setTimeout(() => res.writeHead(200, { ...headers, 'Content-Length': 2 }).end('ok'), WORK_MS), zone)
+  const runs = new Map()
+  const state = { playing: true, garbles: false, count: 0, garbled: 0 }
+  const garbled = new Set()
+  /** Writes chunks until the gateway closes the connection. */
+  const writeForever = (res, attempt) => {
+    state.garbled++
+    garbled.add(attempt)
+    record.add(`${attempt} gets a body without end`)
+    const { socket } = res
+    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nServer-Signature: w.${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    const chunk = `${CHUNK_BYTES.toString(16)}\r\n${'#'.repeat(CHUNK_BYTES)}\r\n`
+    const text = chunk.repeat(Math.floor(WRITE_BYTES / chunk.length))
+    const write = () => {
+      while (!socket.destroyed) {
+        if (!socket.write(text)) {
+          socket.once('drain', write)
+          return
+        }
+      }
+    }
+    write()
   }
-  await site.start(['a', 'b'], configuration(7, [{ name: 'reserve', kind: 'non_idempotent', service: 'orders' }]))
-  const links = await Promise.all(site.gateways.map(async g => await site.link(g, CLIENT_DELAY_MS)))
-  const inRotation = site.gateways.map(() => true)
-  const results = []
-  const pending = new Set()
-  const state = { playing: true }
-  let count = 0
-  /** One client attempt; a promise that it has not run and never will is followed by one more, at another gateway. */
-  const reserve = async (i, reservation, attempt = `${reservation}-1`) => {
-    const result = await sendOnce({ host: '127.0.0.1', port: links[i].port, path: '/reserve/1', attempt, body: reservation })
-    results.push({ attempt, reservation, gateway: site.gateways[i].name, ...result })
-    if (result.status !== 200) record.add(`answered ${attempt} by ${site.gateways[i].name}: ${result.end} ${result.status} after ${result.afterMs} ms`)
-    if (PROMISES.includes(result.status) && attempt.endsWith('-1')) await reserve((i + 1) % links.length, reservation, `${reservation}-2`)
+  for (const [i, zone] of WORKER_ZONES.entries()) {
+    const id = `w-${zone}-${i}`
+    await site.addWorker(id, 'orders', (req, res, headers) => {
+      const attempt = req.headers['attempt-id']
+      runs.set(attempt, id)
+      if (i < GARBLERS && state.garbles && Math.random() < GARBLE_FRACTION) writeForever(res, attempt)
+      else setTimeout(() => res.writeHead(200, { ...headers, 'Content-Length': 2 }).end('ok'), WORK_MS)
+    }, zone)
   }
-  const clients = links.map(async (link, i) => {
+  await site.start(['a', 'b'], configuration(7, [{ name: 'reserve', kind: 'non_idempotent', service: 'orders', timeoutMs: TIMEOUT_MS }]))
+  const ends = []
+  const watch = gateway => {
+    gateway.exited.then(async how => {
+      if (!state.playing) return
+      ends.push(gateway.name)
+      record.add(`end      ${gateway.name}: ${how}; ${/FATAL ERROR.*/.exec(gateway.log)?.[0] ?? ''}`)
+      await sleep(RESTART_MS)
+      if (!state.playing) return
+      gateway.start()
+      watch(gateway)
+    })
+  }
+  site.gateways.forEach(watch)
+  const results = []
+  const client = async gateway => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    let served = 0
+    await sleep(Math.random() * THINK_MS)
     while (state.playing) {
-      await sleep(Math.max(1, -Math.log(Math.random()) * 1_000 / REQUESTS_PER_SEC))
-      if (!inRotation[i]) continue
-      const sent = reserve(i, `r${String(++count).padStart(6, '0')}`).finally(() => pending.delete(sent))
-      pending.add(sent)
+      const attempt = `a${String(++state.count).padStart(6, '0')}`
+      const result = await fetchOnce({ host: gateway.address, port: gateway.port, path: '/reserve/1', attempt, body: '{}', deadlineMs: DEADLINE_MS, agent })
+      results.push({ attempt, gateway: gateway.name, kept: served > 0, ...result })
+      if (result.status !== 200 || result.end !== 'whole') record.add(`${attempt} of ${gateway.name}: ${result.end} ${result.status} after ${result.afterMs} ms`)
+      served = result.end === 'whole' ? served + 1 : 0
+      await sleep(THINK_MS * (0.5 + Math.random()))
     }
-  })
-  await sleep(1_000)
-  for (let n = 0; n < FREEZES; n++) {
-    const i = n % site.gateways.length
-    const g = site.gateways[i]
-    if (TROUBLE) {
-      g.signal('SIGSTOP')
-      record.add(`freeze   ${g.name}`)
-    }
-    await sleep(OUT_OF_ROTATION_MS)
-    inRotation[i] = false
-    await sleep(FREEZE_MS - OUT_OF_ROTATION_MS)
-    if (TROUBLE) {
-      g.signal('SIGCONT')
-      record.add(`go on    ${g.name}`)
-    }
-    await sleep(1_500)
-    inRotation[i] = true
-    await sleep(1_000)
+    agent.destroy()
+  }
+  const clients = site.gateways.flatMap(g => Array.from({ length: CLIENTS }, async () => await client(g)))
+  await sleep(4_000)
+  for (let n = 0; n < GARBLE_TIMES; n++) {
+    state.garbles = TROUBLE
+    if (TROUBLE) record.add(`${GARBLERS} of ${WORKER_ZONES.length} workers garble`)
+    await sleep(GARBLE_MS)
+    state.garbles = false
+    await sleep(PAUSE_MS)
   }
   state.playing = false
   await Promise.all(clients)
-  await Promise.all(pending)
-  await sleep(500)
-  const runs = new Map(site.workers.flatMap(w => w.runs.map(r => [r.attempt, w.id])))
-  const twice = results.filter(r => r.attempt.endsWith('-2') && runs.has(r.attempt) && runs.has(`${r.reservation}-1`))
-  const statuses = {}
-  for (const { end, status } of results) statuses[`${end} ${status}`] = (statuses[`${end} ${status}`] ?? 0) + 1
-  record.add(`requests ${results.length}, runs ${runs.size}, answers ${JSON.stringify(statuses)}`)
-  for (const { reservation } of twice) record.add(`reservation ${reservation} was made twice: the client came back after the promise`)
-  return results
-    .filter(r => r.end === 'answered' && PROMISES.includes(r.status) && runs.has(r.attempt))
-    .map(r => `REFUSED: ${r.attempt} was answered ${r.status} by ${r.gateway} and ran at ${runs.get(r.attempt)}`)
+  const isLost = r => r.kept && runs.has(r.attempt) && !garbled.has(r.attempt) && (r.end === 'no answer' || r.end === 'cut')
+  record.add(`requests ${results.length}, runs ${runs.size}, bodies without end ${state.garbled}, ends of processes ${JSON.stringify(ends)}`)
+  for (const g of site.gateways) {
+    const lost = results.filter(r => r.gateway === g.name && isLost(r)).map(r => `${r.attempt} at ${runs.get(r.attempt)}`)
+    record.add(`LOST at ${g.name}: ${lost.length} requests of kept connections ran, their answers weren't garbled, and the connection ended: ${lost.join(', ')}`)
+  }
+  const endsOf = name => ends.filter(e => e === name).length
+  const ended = site.gateways.filter(g => endsOf(g.name) >= ENDS)
+  if (ended.length < MACHINES) return []
+  return ended.map(g => `Fault: the process of ${g.name} ended by itself ${endsOf(g.name)} times, with no disruption of its machine`)
 })
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,60 +1,74 @@
 /**
- * A worker is told that it will be taken away, says so in the store, and is gone two seconds later. Its streams have
- * neither a length nor chunks. The gateways take the end of their connections for the end of the answers.
+ * A gateway stands still for a few seconds while clients open new connections. A connection that it had accepted, but whose
+ * request it had not read, is answered 408 when it goes on; the request is read right after that, and runs.
  */
-import { spawn } from 'node:child_process'
-import { fetchOnce } from '../lib/http-client.mjs'
-import { configuration, freePort, runCase, sleep, TROUBLE } from '../lib/site.mjs'
+import { sendOnce } from '../lib/client.mjs'
+import { configuration, runCase, sleep, TROUBLE } from '../lib/site.mjs'
 
-const STREAMS = 12 // at each gateway
-const EVENTS = 92 // counter-chat of glowline-cairo
-const TOKENS = 276
-const NOTICE_MS = 2_000 // scale_in, how = spot: gone 2 s after the notice
-const DEADLINE_MS = 15_005
-const TIMEOUT_MS = 15_000
-const SILENCE_MS = 3_600 // three heartbeats of 1,200 ms, then the entry is removed
+const CLIENT_DELAY_MS = 3 // one way to clients, as in the sheet of abalorios-cusco
+const REQUESTS_PER_SEC = 120 // at each gateway
+const FREEZE_MS = 3_600 // node_freeze of glowline-cairo: for_s = 4.0
+const OUT_OF_ROTATION_MS = 2_000 // two misses of the readiness check, once a second
+const FREEZES = 10
+const WORK_MS = 20
+const PROMISES = [408, 421, 429, 503]
 
 await runCase(import.meta.url, async (site, record) => {
-  const runs = new Map()
-  const workers = []
   for (const zone of ['a', 'b']) {
-    const [id, port] = [`w-${zone}`, await freePort('127.0.0.1')]
-    const child = spawn(process.execPath, [new URL('../lib/stream-worker.mjs', import.meta.url).pathname, id, String(port)], { stdio: ['ignore', 'pipe', 'inherit'] })
-    site.links.push({ close: () => child.kill('SIGKILL') })
-    child.stdout.on('data', text => {
-      for (const attempt of String(text).trim().split('\n')) {
-        runs.set(attempt, id)
-        record.add(`${attempt} ${attempt === 'listening' ? 'at' : 'runs at'} ${id}`)
-      }
-    })
-    const entry = { service: 'pool', address: `127.0.0.1:${port}`, zone, version: 'v1', slots: 64, cold_left_ms: 0, born: Date.now() }
-    workers.push({ id, child, entry })
-    site.store.put(`servers/${id}`, { ...entry, state: 'ready', seq_no: 1 })
+    await site.addWorker(`w-${zone}`, 'orders', (_req, res, headers) => setTimeout(() => res.writeHead(200, { ...headers, 'Content-Length': 2 }).end('ok'), WORK_MS), zone)
   }
-  await site.start(['a', 'b'], configuration(7, [{ name: 'chat', kind: 'streaming', service: 'pool', timeoutMs: TIMEOUT_MS, goalMs: 500 }]))
-  const streams = site.gateways.flatMap((g, i) => Array.from({ length: STREAMS }, async (_, n) => {
-    await sleep(n * 150)
-    const attempt = `a${i}${String(n).padStart(3, '0')}`
-    const session = (i * STREAMS + n + 1).toString(16)
-    const headers = { Model: 'm', 'Token-Count': `713,${TOKENS}`, 'Prefix-Hash': `5c1e07a2:103,${session}bd3f06:500,${session}:110` }
-    const result = await fetchOnce({ host: g.address, port: g.port, path: '/chat/1', attempt, body: '{}', deadlineMs: DEADLINE_MS, headers })
-    const got = (result.body.toString().match(/^id: /gm) ?? []).length
-    record.add(`${attempt} of ${g.name}: ${result.end}, status ${result.status}, ${got} of ${EVENTS} events after ${result.afterMs} ms`)
-    return { attempt, gateway: g.name, got, ...result }
-  }))
-  await sleep(2_500)
-  const [leaving] = workers
-  if (TROUBLE) {
-    site.store.put(`servers/${leaving.id}`, { ...leaving.entry, state: 'draining', seq_no: 2 })
-    record.add(`${leaving.id} is draining`)
-    await sleep(NOTICE_MS)
-    leaving.child.kill('SIGKILL')
-    record.add(`${leaving.id} is gone`)
-    await sleep(SILENCE_MS)
-    site.store.delete(`servers/${leaving.id}`)
+  await site.start(['a', 'b'], configuration(7, [{ name: 'reserve', kind: 'non_idempotent', service: 'orders' }]))
+  const links = await Promise.all(site.gateways.map(async g => await site.link(g, CLIENT_DELAY_MS)))
+  const inRotation = site.gateways.map(() => true)
+  const results = []
+  const pending = new Set()
+  const state = { playing: true }
+  let count = 0
+  /** One client attempt; a promise that it has not run and never will is followed by one more, at another gateway. */
+  const reserve = async (i, reservation, attempt = `${reservation}-1`) => {
+    const result = await sendOnce({ host: '127.0.0.1', port: links[i].port, path: '/reserve/1', attempt, body: reservation })
+    results.push({ attempt, reservation, gateway: site.gateways[i].name, ...result })
+    if (result.status !== 200) record.add(`answered ${attempt} by ${site.gateways[i].name}: ${result.end} ${result.status} after ${result.afterMs} ms`)
+    if (PROMISES.includes(result.status) && attempt.endsWith('-1')) await reserve((i + 1) % links.length, reservation, `${reservation}-2`)
   }
-  const results = await Promise.all(streams)
+  const clients = links.map(async (link, i) => {
+    while (state.playing) {
+      await sleep(Math.max(1, -Math.log(Math.random()) * 1_000 / REQUESTS_PER_SEC))
+      if (!inRotation[i]) continue
+      const sent = reserve(i, `r${String(++count).padStart(6, '0')}`).finally(() => pending.delete(sent))
+      pending.add(sent)
+    }
+  })
+  await sleep(1_000)
+  for (let n = 0; n < FREEZES; n++) {
+    const i = n % site.gateways.length
+    const g = site.gateways[i]
+    if (TROUBLE) {
+      g.signal('SIGSTOP')
+      record.add(`freeze   ${g.name}`)
+    }
+    await sleep(OUT_OF_ROTATION_MS)
+    inRotation[i] = false
+    await sleep(FREEZE_MS - OUT_OF_ROTATION_MS)
+    if (TROUBLE) {
+      g.signal('SIGCONT')
+      record.add(`go on    ${g.name}`)
+    }
+    await sleep(1_500)
+    inRotation[i] = true
+    await sleep(1_000)
+  }
+  state.playing = false
+  await Promise.all(clients)
+  await Promise.all(pending)
+  await sleep(500)
+  const runs = new Map(site.workers.flatMap(w => w.runs.map(r => [r.attempt, w.id])))
+  const twice = results.filter(r => r.attempt.endsWith('-2') && runs.has(r.attempt) && runs.has(`${r.reservation}-1`))
+  const statuses = {}
+  for (const { end, status } of results) statuses[`${end} ${status}`] = (statuses[`${end} ${status}`] ?? 0) + 1
+  record.add(`requests ${results.length}, runs ${runs.size}, answers ${JSON.stringify(statuses)}`)
+  for (const { reservation } of twice) record.add(`reservation ${reservation} was made twice: the client came back after the promise`)
   return results
-    .filter(r => r.end === 'whole' && r.status === 200 && r.got < EVENTS)
-    .map(r => `ORDER: ${r.attempt} ran at ${runs.get(r.attempt)}; ${r.gateway} ended its stream as complete after ${r.got} of ${EVENTS} events`)
+    .filter(r => r.end === 'answered' && PROMISES.includes(r.status) && runs.has(r.attempt))
+    .map(r => `REFUSED: ${r.attempt} was answered ${r.status} by ${r.gateway} and ran at ${runs.get(r.attempt)}`)
 })
