--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -26,7 +26,7 @@
   let count = 0
   /** One client attempt; a promise that it has not run and never will is followed by one more, at another gateway. */
   const reserve = async (i, reservation, attempt = `${reservation}-1`) => {
-    const result = await sendOnce({ host: '127.0.0.1', port: links[i].port, path: '/reserve/1', attempt, body: reservation })
+    const result = await sendOnce({ host: '127.0.0.1', port: links[i].port, path: '/reserve/1', attempt, body: reservation, delayMs: CLIENT_DELAY_MS })
     results.push({ attempt, reservation, gateway: site.gateways[i].name, ...result })
     if (result.status !== 200) record.add(`answered ${attempt} by ${site.gateways[i].name}: ${result.end} ${result.status} after ${result.afterMs} ms`)
     if (PROMISES.includes(result.status) && attempt.endsWith('-1')) await reserve((i + 1) % links.length, reservation, `${reservation}-2`)
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -15,8 +15,11 @@
   return { status, headers, body, whole: body.length >= length }
 }
 
-/** Resolves to { end: 'answered' | 'closed' | 'gave up', status, body, afterMs }. */
-export async function sendOnce ({ host, port, path, attempt, body = '{}', deadlineMs = 4_002, headers = {} }) {
+/**
+ * Resolves to { end: 'answered' | 'closed' | 'gave up', status, body, afterMs }.
+ * @param delayMs delay of the client's link one way: the client learns so much later that its connection is there.
+ */
+export async function sendOnce ({ host, port, path, attempt, body = '{}', deadlineMs = 4_002, headers = {}, delayMs = 0 }) {
   const sentAt = performance.now()
   return await new Promise(resolve => {
     const chunks = []
@@ -29,7 +32,8 @@
       resolve({ end, status, headers, body, afterMs: Math.round(performance.now() - sentAt) })
     }
     const timer = setTimeout(() => finish('gave up'), deadlineMs)
-    socket.on('connect', () => socket.write(requestText(path, attempt, body, { 'Deadline-Ms': String(deadlineMs), ...headers })))
+    const text = requestText(path, attempt, body, { 'Deadline-Ms': String(deadlineMs), ...headers })
+    socket.on('connect', () => setTimeout(() => socket.write(text), delayMs))
     socket.on('data', chunk => {
       chunks.push(chunk)
       if (parseAnswer(Buffer.concat(chunks))?.whole === true) finish('answered')
--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -15,7 +15,8 @@
 export const TENANT = 'looms'
 const ROOT = new URL('../..', import.meta.url).pathname
 const SUBNET = 1 + process.pid % 250
-const START_TIMEOUT_MS = 20_000
+const START_TIMEOUT_MS = 8_000
+const START_ATTEMPTS = 3
 
 /** False when the script is to run without its disruption. */
 export const TROUBLE = process.env.TROUBLE !== '0'
@@ -49,11 +50,22 @@
   return server.address().port
 }
 
+const FIRST_PORT = 12_000
+const PORT_COUNT = 18_000 // below the ports that the system gives to connections, which would take a port between its choice and its use
+const givenPorts = new Set()
+
+/** A port that nothing listens on, and that wasn't given before. */
 export async function freePort (address) {
-  const server = createTcpServer()
-  const port = await listenOn(server, 0, address)
-  await new Promise(resolve => server.close(resolve))
-  return port
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT)
+    if (givenPorts.has(port)) continue
+    const server = createTcpServer()
+    const isFree = await listenOn(server, port, address).then(() => true, () => false)
+    if (!isFree) continue
+    givenPorts.add(port)
+    await new Promise(resolve => server.close(resolve))
+    return port
+  }
 }
 
 /** The platform's store: one key, a range, and a watch that waits. */
@@ -389,22 +401,32 @@
     for (const link of this.storeLinks) await link.listen()
     this.links.push(...this.storeLinks)
     this.store.put('op/config', config)
-    const ports = { peer: await freePort('127.0.0.1'), front: await freePort('127.0.0.1'), readiness: await freePort('127.0.0.1'), control: await freePort('127.0.0.1') }
+    for (let attempt = 1; !await this.#startGateways(zones); attempt++) {
+      if (attempt === START_ATTEMPTS) throw new Error(`not ready: ${this.gateways.map(g => g.log.slice(0, 1_500)).join('\n')}`)
+      await Promise.all(this.gateways.map(g => g.end()))
+    }
+    await sleep(1_500) // until the gateways have found each other
+  }
+
+  /** Starts the gateways on ports that were free a moment ago; false when one isn't ready in time, as when another process took a port. */
+  async #startGateways (zones) {
+    const address = '127.0.0.1'
+    const ports = { peer: await freePort(address), front: await freePort(address), readiness: await freePort(address), control: await freePort(address) }
     const seeds = zones.slice(0, 3).map((_, i) => `127.${SUBNET}.7.${10 + i}`)
     this.gateways = zones.map((zone, i) => new Gateway(this.#dir, i, zone, ports, this.storeLinks[i].port, seeds))
     for (const g of this.gateways) g.start()
-    await this.waitUntilReady(this.gateways)
-    await sleep(1_500) // until the gateways have found each other
+    return await this.#areReady()
   }
 
-  async waitUntilReady (gateways) {
+  async #areReady () {
     const end = performance.now() + START_TIMEOUT_MS
-    for (const g of gateways) {
+    for (const g of this.gateways) {
       while (!await g.isReady()) {
-        if (performance.now() > end) throw new Error(`${g.name} isn't ready: ${g.log.slice(-500)}`)
+        if (performance.now() > end) return false
         await sleep(50)
       }
     }
+    return true
   }
 
   /** A link with a delay to a gateway's frontend. */
