--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,8 +3,8 @@
  * chunk of an answer as a buffer of its own and bound only their bytes: the heap is full long before, and the process ends.
  */
 import { Agent } from 'node:http'
-import { fetchOnce } from '../lib/http-client.mjs'
-import { configuration, runCase, sleep, TROUBLE } from '../lib/site.mjs'
+import { fetchOnce } from '../http-client.mjs'
+import { configuration, runCase, sleep, TROUBLE } from '../site.mjs'
 
 const CLIENTS = 40 // at each gateway, each with one kept connection
 const THINK_MS = 500
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -2,8 +2,8 @@
  * A gateway stands still for a few seconds while clients open new connections. A connection that it had accepted, but whose
  * request it had not read, is answered 408 when it goes on; the request is read right after that, and runs.
  */
-import { sendOnce } from '../lib/client.mjs'
-import { configuration, runCase, sleep, TROUBLE } from '../lib/site.mjs'
+import { sendOnce } from '../client.mjs'
+import { configuration, runCase, sleep, TROUBLE } from '../site.mjs'
 
 const CLIENT_DELAY_MS = 3 // one way to clients, as in the sheet of abalorios-cusco
 const REQUESTS_PER_SEC = 120 // at each gateway
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -4,8 +4,8 @@
  * breaks it off when it exits: it expects 12 ms a token, the engines take 20.
  */
 import { Agent } from 'node:http'
-import { fetchOnce } from '../lib/http-client.mjs'
-import { API_KEY, configuration, runCase, sleep, TROUBLE } from '../lib/site.mjs'
+import { fetchOnce } from '../http-client.mjs'
+import { API_KEY, configuration, runCase, sleep, TROUBLE } from '../site.mjs'
 
 const CLIENTS = 40 // at each gateway, each with one connection
 const TOKENS_PER_EVENT = 3
--- a/review/lib/site.mjs
+++ b/review/site.mjs
@@ -13,7 +13,7 @@
 export const HOST = 'shop.example'
 export const API_KEY = 'key-looms'
 export const TENANT = 'looms'
-const ROOT = new URL('../..', import.meta.url).pathname
+const ROOT = new URL('..', import.meta.url).pathname
 const SUBNET = 1 + process.pid % 250
 const START_TIMEOUT_MS = 8_000
 const START_ATTEMPTS = 3
