Hold bodies in blocks, so that small pieces take no more than their bytes

Cause: bodies were kept as lists of the parser's pieces, some hundred bytes each, and only the sum of their own bytes was bounded. Answers of the platform and of peers had no bound at all. Ruled out: garbage (the memory is measured after a collection), and the part that is forwarded (uploads, which aren't, held 172 MB). Change: ByteBuffer copies pieces into blocks and has a bound; it reads the bodies of callers on both interfaces, of endpoints, of peers and of the platform. PieceJoiner hands the pieces of one turn on together, in both HTTP clients: an event without end was copied again for each four bytes.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a request at one endpoint: forwards a stream as it arrives, buffers any other response until it is complete. */
 import type { AnswerEnd } from '../common/http/AnswerFraming.js'
+import { ByteBuffer } from '../common/http/ByteBuffer.js'
 import { YOUNG_ANSWER_MS } from '../common/routing/PartEvidence.js'
 import { SseFramer } from '../common/sse/SseFramer.js'
 import type { CallerResponse } from './CallerResponse.js'
@@ -51,8 +52,7 @@
   readonly #response: CallerResponse
   readonly #options: AttemptOptions
   readonly #exchange: EndpointExchange
-  readonly #buffered: Buffer[] = []
-  #bufferedBytes = 0
+  readonly #buffered = new ByteBuffer(MAX_BUFFERED_BYTES)
   #head: ResponseHead | undefined
   #streaming = false
   #answerBeganAt: number | undefined
@@ -115,21 +115,21 @@
     else if (head.isEventStream && this.#exchange.framing === 'connection') this.#unmarkedEvents = new SseFramer()
   }
 
-  onData (chunk: Buffer): void {
+  onData (bytes: Uint8Array): void {
     this.#checkAge()
-    this.#unmarkedEvents?.push(chunk)
+    this.#unmarkedEvents?.push(bytes)
     if (this.#unmarkedEvents?.isOversized === true) {
       this.#settleBrokenOff('event without an end')
       return
     }
     if (this.#streaming) {
-      this.#write(chunk)
+      this.#write(bytes)
       return
     }
     this.#idleTimeout?.restart()
-    this.#buffered.push(chunk)
-    this.#bufferedBytes += chunk.length
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) this.#startStreaming()
+    if (this.#buffered.push(bytes)) return
+    this.#startStreaming()
+    this.#write(bytes)
   }
 
   onEnd (end: AnswerEnd): void {
@@ -156,7 +156,7 @@
 
   #finish (head: ResponseHead): void {
     if (!this.#streaming) {
-      this.#settle({ kind: 'answered', head, body: Buffer.concat(this.#buffered) })
+      this.#settle({ kind: 'answered', head, body: this.#buffered.take() })
       return
     }
     this.#response.end()
@@ -194,8 +194,7 @@
     this.#streaming = true
     if (!this.#response.headersSent) this.#response.writeHead(this.#head!.status, this.#head!.passHeaders)
     this.#response.onDrain(() => this.#exchange.resume())
-    for (const chunk of this.#buffered) this.#write(chunk)
-    this.#buffered.length = 0
+    if (this.#buffered.length > 0) this.#write(this.#buffered.take())
   }
 
   #write (chunk: Uint8Array): void {
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -2,6 +2,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { framingOf, type AnswerEnd, type AnswerFraming } from '../common/http/AnswerFraming.js'
+import { PieceJoiner } from '../common/http/PieceJoiner.js'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { InputTimeout } from './InputTimeout.js'
 import type { HeaderList } from './Types.js'
@@ -23,7 +24,8 @@
 /** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
 export interface IExchangeSink {
   onHead (status: number, headers: HeaderList): void
-  onData (chunk: Buffer): void
+  /** Bytes of the body; what arrived in one turn of the event loop comes together. */
+  onData (bytes: Uint8Array): void
   /** The answer has ended without an error; the receiver decides what an unknown end means to it. */
   onEnd (end: AnswerEnd): void
   /** `sent` is false when no byte of the request can have reached the endpoint. */
@@ -33,6 +35,7 @@
 export class EndpointExchange {
   readonly #req: ClientRequest
   readonly #sink: IExchangeSink
+  readonly #body = new PieceJoiner(bytes => { if (!this.#settled) this.#sink.onData(bytes) })
   #res: IncomingMessage | undefined
   #connectTimeout: InputTimeout | undefined
   #sent = false
@@ -110,7 +113,7 @@
       transferEncoding: res.headers['transfer-encoding']
     })
     if (this.#framing === 'connection') res.socket.prependListener('end', () => this.#onConnectionEnd(res.socket))
-    res.on('data', (chunk: Buffer) => { if (!this.#settled) this.#sink.onData(chunk) })
+    res.on('data', (piece: Buffer) => { if (!this.#settled) this.#body.push(piece) })
     res.on('error', e => this.#fail(e.message))
     res.on('aborted', () => this.#fail('answer broke off'))
     res.on('end', () => this.#end(res))
@@ -123,6 +126,7 @@
   }
 
   #end (res: IncomingMessage): void {
+    this.#body.flush()
     if (this.#settled) return
     if (!res.complete) {
       this.#fail('answer broke off')
@@ -133,6 +137,7 @@
   }
 
   #fail (detail: string): void {
+    if (this.#failure !== 'aborted') this.#body.flush()
     if (this.#settled) return
     this.#settled = true
     this.#connectTimeout?.dispose()
--- a/src/gateway/SnapshotExchange.ts
+++ b/src/gateway/SnapshotExchange.ts
@@ -85,12 +85,12 @@
       this.#log.info({ step: 'peers', peer: from.id, part: kind, reason }, 'snapshot not fetched')
       return false
     }
-    return this.#apply(kind, response.value.body, ageMs, from)
+    return this.#apply(kind, response.value.text, ageMs, from)
   }
 
-  #apply (kind: SnapshotKind, body: Buffer, ageMs: number, from: InstanceAddress): boolean {
+  #apply (kind: SnapshotKind, text: string, ageMs: number, from: InstanceAddress): boolean {
     try {
-      const value: unknown = JSON.parse(body.toString('utf8'))
+      const value: unknown = JSON.parse(text)
       return kind === 'config' ? this.#source.updateConfig(value as RoutingConfig) : this.#source.updateEndpoints(value as EndpointList, ageMs)
     } catch (e) {
       this.#log.warn({ step: 'peers', peer: from.id, part: kind, err: String(e) }, 'malformed snapshot')
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -141,14 +141,14 @@
     const response = await httpGet({ agent: this.#agents[kind], address: this.#address, port: this.#port }, target, timeoutMs)
     const result = response
       .mapErr(e => this.#error('unreachable', `${e.step}: ${e.reason}`))
-      .andThen(({ status, headers, body }) => status === 200 ? this.#parse(headers, body) : err(this.#error(errorKindOf(status), `status ${status}`)))
+      .andThen(({ status, headers, text }) => status === 200 ? this.#parse(headers, text) : err(this.#error(errorKindOf(status), `status ${status}`)))
     this.#metrics.platformCalls.inc({ kind, result: result.isOk() ? 'ok' : result.error.kind })
     return result
   }
 
-  #parse (headers: HeaderList, text: Buffer): Result<VersionedResponse, StoreError> {
+  #parse (headers: HeaderList, text: string): Result<VersionedResponse, StoreError> {
     try {
-      const body = JSON.parse(text.toString('utf8')) as WireResponse
+      const body = JSON.parse(text) as WireResponse
       const version = { epoch: Number(getHeader(headers, HEADER.storeEpoch) ?? 0), revision: Number(body.at ?? NaN) }
       const isValid = Number.isSafeInteger(version.epoch) && version.epoch >= 0 && Number.isSafeInteger(version.revision) && version.revision >= 0
       return isValid ? ok({ body, version }) : err(this.#error('malformed', 'no version'))
--- a/src/router/callers/RequestBody.ts
+++ b/src/router/callers/RequestBody.ts
@@ -1,24 +1,20 @@
 /** Reads request bodies into memory, up to a size limit. */
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
+import { ByteBuffer } from '../../common/http/ByteBuffer.js'
 import { routeError, type RouteError } from '../../common/Errors.js'
 
 /** Reads a body. One that exceeds `maxBytes` is an error and is not read any further; an incomplete one is an error as well. */
 export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge(maxBytes))
   return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let size = 0
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= maxBytes) {
-        chunks.push(chunk)
-        return
-      }
+    const body = new ByteBuffer(maxBytes)
+    req.on('data', (piece: Buffer) => {
+      if (body.push(piece)) return
       req.pause()
       resolve(err(tooLarge(maxBytes)))
     })
-    req.on('end', () => resolve(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))))
+    req.on('end', () => resolve(ok(body.take())))
     req.on('error', e => resolve(err(routeError('invalid_request', 'accept', 'caller', `The body stopped half way: ${e.message}`))))
     req.on('close', () => resolve(err(routeError('invalid_request', 'accept', 'caller', 'The body stopped half way.'))))
   })
--- a/src/router/configuration/PlatformClient.ts
+++ b/src/router/configuration/PlatformClient.ts
@@ -1,11 +1,13 @@
 /** Client of the platform: configuration and instance list. Every call is counted, because the platform limits calls. */
 import { err, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
+import { readText } from '../../common/http/BoundedText.js'
 import type { PlatformList } from '../../common/Types.js'
 import type { LinkFilter } from '../fleet/LinkFilter.js'
 import type { Metrics } from '../telemetry/Metrics.js'
 
 const RESPONSE_TIMEOUT_MS = 3_000
+const MAX_RESPONSE_BYTES = 67_108_864 // the largest voted file and list
 
 /** The latest configuration published on the platform. */
 export interface PublishedFile {
@@ -73,7 +75,7 @@
     this.#metrics.platformReads.inc({ kind })
     const read = async (): Promise<T> => {
       const res = await request(this.#base + path, { dispatcher: this.#agent, headersTimeout: waitMs + RESPONSE_TIMEOUT_MS, bodyTimeout: RESPONSE_TIMEOUT_MS })
-      const text = await res.body.text()
+      const text = await readText(res.body, MAX_RESPONSE_BYTES)
       if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`)
       return parse({ text, revision: Number(res.headers['x-revision']) })
     }
--- a/src/router/engines/EndpointCommands.ts
+++ b/src/router/engines/EndpointCommands.ts
@@ -3,11 +3,13 @@
  * stored state: the wall time in milliseconds, but always above the highest token that the endpoint reported.
  */
 import { request } from 'undici'
+import { readText } from '../../common/http/BoundedText.js'
 import type { VotedConfig } from '../../common/config/VotedConfig.js'
 import type { IClock } from '../../common/Services.js'
 import type { EndpointTracker } from './EndpointTracker.js'
 
 const COMMAND_TIMEOUT_MS = 3_000
+const MAX_REPLY_BYTES = 65_536
 
 /** Dependencies of `EndpointCommands`. */
 export interface EndpointCommandsDependencies {
@@ -37,7 +39,7 @@
       headersTimeout: COMMAND_TIMEOUT_MS,
       bodyTimeout: COMMAND_TIMEOUT_MS
     })
-    const text = await res.body.text()
+    const text = await readText(res.body, MAX_REPLY_BYTES)
     if (res.statusCode !== 200) return `refused by ${endpointId}: ${text.slice(0, 200)}`
     return `${undo ? 'undrain' : 'drain'} taken by ${endpointId}, fencing number ${fencing}`
   }
--- a/src/router/engines/HttpExchange.ts
+++ b/src/router/engines/HttpExchange.ts
@@ -1,13 +1,15 @@
 /** One HTTP exchange whose response body is forwarded chunk by chunk, without the cost of a readable stream. */
 import type { Dispatcher } from 'undici'
 import { framingOf, type AnswerEnd } from '../../common/http/AnswerFraming.js'
+import { PieceJoiner } from '../../common/http/PieceJoiner.js'
 
 /** Callbacks of one exchange; the last call is exactly one of `onEnd` and `onError`. */
 export interface HttpSink {
   /** Called immediately before the first byte is written; returning false aborts the request unsent. */
   readonly onSending?: () => boolean
   readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void
-  readonly onData: (chunk: Buffer) => void
+  /** Bytes of the body; what arrived in one turn of the event loop comes together. */
+  readonly onData: (bytes: Buffer) => void
   /** The answer has ended without an error. An unknown end may also be a crash or, as undici doesn't tell, a reset. */
   readonly onEnd: (end: AnswerEnd) => void
   /** `sent` is false when no byte of the request can have reached the peer. */
@@ -39,6 +41,7 @@
   let sent = false
   let finished = false
   let end: AnswerEnd = 'unknown'
+  const body = new PieceJoiner(bytes => { if (!aborted && !finished) sink.onData(viewOf(bytes)) })
   const fail = (e: Error): void => {
     if (finished) return
     finished = true
@@ -57,14 +60,16 @@
       if (!aborted) sink.onHead(status, headers)
     },
     onResponseData (_c, chunk) {
-      if (!aborted) sink.onData(chunk)
+      body.push(chunk)
     },
     onResponseEnd () {
+      body.flush()
       if (finished) return
       finished = true
       sink.onEnd(end)
     },
     onResponseError (_c, e) {
+      body.flush()
       fail(e)
     }
   }
@@ -73,7 +78,7 @@
     path: req.path,
     method: req.method,
     headers: { ...req.headers },
-    body: req.body === undefined ? null : Buffer.from(req.body.buffer, req.body.byteOffset, req.body.byteLength),
+    body: req.body === undefined ? null : viewOf(req.body),
     headersTimeout: req.headersTimeoutMs,
     bodyTimeout: req.bodyTimeoutMs
   }, handler)
@@ -88,3 +93,7 @@
     resume () { controller?.resume() }
   }
 }
+
+function viewOf (bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+}
--- a/src/router/engines/RemoteHomeNode.ts
+++ b/src/router/engines/RemoteHomeNode.ts
@@ -11,6 +11,7 @@
 
 const CONNECT_TIMEOUT_MS = 1_000
 const HEADERS_TIMEOUT_MS = 15_000 // covers the time that an engine may take to accept a chat
+const MAX_ERROR_LENGTH = 65_536 // of a peer's error, in characters
 
 /** Connection pool, secret and link filter for requests to all peers. */
 export class PeerConnections extends Disposable {
@@ -108,7 +109,7 @@
       return
     }
     if (!this.#streaming) {
-      this.#text += chunk.toString()
+      if (this.#text.length < MAX_ERROR_LENGTH) this.#text += chunk.toString()
       return
     }
     const frame = this.#framer.push(chunk)
--- a/src/router/services/ServiceHandler.ts
+++ b/src/router/services/ServiceHandler.ts
@@ -4,6 +4,7 @@
 import { HEADER } from '../../common/Constants.js'
 import type { VotedConfig } from '../../common/config/VotedConfig.js'
 import { outcomeOf, routeError, type RouteError } from '../../common/Errors.js'
+import { ByteBuffer } from '../../common/http/ByteBuffer.js'
 import type { RetryBudget } from '../../common/limits/RetryBudget.js'
 import { parseTicket } from '../../common/idempotency/KeyFormat.js'
 import { UNAVAILABLE } from '../../common/placement/LoadView.js'
@@ -16,7 +17,7 @@
 import { keyOwnerOf } from './KeyOwner.js'
 import type { Metrics } from '../telemetry/Metrics.js'
 import type { PeerConnections } from '../engines/RemoteHomeNode.js'
-import type { ServiceRunner } from './ServiceRunner.js'
+import { MAX_SERVICE_RESPONSE_BYTES, type ServiceRunner } from './ServiceRunner.js'
 import type { ServiceResponse, ServiceCallMessage } from '../Types.js'
 
 const MAX_RETRIES = 2
@@ -122,7 +123,7 @@
     return await new Promise(resolve => {
       let status = 0
       let encodedHead = ''
-      const chunks: Buffer[] = []
+      const received = new ByteBuffer(MAX_SERVICE_RESPONSE_BYTES)
       const deathListener = this.#deps.fleet.onInstanceDead(id => { if (id === node) exchange.abort() })
       const finish = (result: Result<ServiceResponse, RouteError>): void => {
         deathListener.dispose()
@@ -142,10 +143,10 @@
           status = code
           encodedHead = String(headers['x-answer'] ?? '')
         },
-        onData: chunk => { chunks.push(chunk) },
+        onData: chunk => { if (!received.push(chunk)) exchange.abort() },
         onEnd: end => finish(end === 'unknown'
           ? err(routeError('response_lost', 'forward', node, 'reply without length or chunks'))
-          : parseResponse(status, encodedHead, Buffer.concat(chunks), node)),
+          : parseResponse(status, encodedHead, received.take(), node)),
         onError: (e, sent) => finish(err(routeError(sent ? 'response_lost' : 'peer_unreachable', 'forward', node, e.message)))
       })
       const timer = setTimeout(() => exchange.abort(), call.timeoutMs + FORWARD_MARGIN_MS)
@@ -165,9 +166,9 @@
   return outcomeOf(error) === 'not-run' || !call.neverRepeat
 }
 
-function parseResponse (status: number, encodedHead: string, body: Buffer, node: string): Result<ServiceResponse, RouteError> {
+function parseResponse (status: number, encodedHead: string, body: Uint8Array, node: string): Result<ServiceResponse, RouteError> {
   try {
-    if (status === 409) return err(JSON.parse(body.toString()) as RouteError)
+    if (status === 409) return err(JSON.parse(new TextDecoder().decode(body)) as RouteError)
     if (status !== 200) return err(routeError('response_lost', 'forward', node, `status ${status}`))
     return ok({ ...JSON.parse(decodeURIComponent(encodedHead)) as Omit<ServiceResponse, 'body'>, body })
   } catch {
--- a/src/router/services/ServiceRunner.ts
+++ b/src/router/services/ServiceRunner.ts
@@ -5,6 +5,7 @@
 import type { EndpointInfo, VotedConfig } from '../../common/config/VotedConfig.js'
 import { Disposable, toDisposable } from '../../common/Disposable.js'
 import { outcomeOf, routeError, type RouteError } from '../../common/Errors.js'
+import { ByteBuffer } from '../../common/http/ByteBuffer.js'
 import type { KeyResult } from '../../common/idempotency/KeyTable.js'
 import { parseTicket, scopedKey } from '../../common/idempotency/KeyFormat.js'
 import { UNAVAILABLE } from '../../common/placement/LoadView.js'
@@ -20,7 +21,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000
 const MAX_WORKERS_TRIED = 3
-const MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+/** Longest response of a plain service. */
+export const MAX_SERVICE_RESPONSE_BYTES = 16 * 1024 * 1024
 const STRIPPED_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'trailer'])
 
 type ServiceResult = Promise<Result<ServiceResponse, RouteError>>
@@ -134,8 +136,7 @@
     const answer = await new Promise<Result<ServiceResponse, RouteError>>(resolve => {
       let status = 0
       let headers: Record<string, string> = {}
-      let size = 0
-      const chunks: Buffer[] = []
+      const received = new ByteBuffer(MAX_SERVICE_RESPONSE_BYTES)
       const exchange = startExchange(agent, {
         origin: `http://${worker.address}`,
         path: call.path,
@@ -150,15 +151,11 @@
           status = code
           headers = forwardedHeaders(head)
         },
-        onData: chunk => {
-          size += chunk.length
-          if (size > MAX_RESPONSE_BYTES) exchange.abort()
-          else chunks.push(chunk)
-        },
+        onData: chunk => { if (!received.push(chunk)) exchange.abort() },
         onEnd: end => {
           if (headers['x-not-run'] !== undefined) resolve(err(routeError('endpoint_refused', 'dispatch', worker.id, `status ${status}`)))
           else if (end === 'unknown') resolve(err(routeError('response_lost', 'dispatch', worker.id, 'answer without length or chunks')))
-          else resolve(ok({ status, headers, body: Buffer.concat(chunks) }))
+          else resolve(ok({ status, headers, body: received.take() }))
         },
         onError: (e, sent) => resolve(err(this.#connectionError(e, sent, worker)))
       })
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -6,6 +6,8 @@
 export const STREAM_EVENT_COUNT = 4
 const DRIP_INTERVAL_MS = 50
 const ENDLESS_CHUNK_BYTES = 65_536
+const SMALL_CHUNK = '4\r\n####\r\n'
+const SMALL_CHUNKS_A_WRITE = 8_192
 
 /** How the worker treats requests. */
 export type WorkerMode =
@@ -33,6 +35,8 @@
   | 'dripping'
   /** Executes, sends the first event of a stream and then an event that never ends; other calls are answered. */
   | 'endless'
+  /** Executes and answers with chunks of four bytes that never end. */
+  | 'endless chunks'
   /** Executes, sends the head of a stream and resets the connection; other calls are answered. */
   | 'head only'
   /** Executes and answers with the id of another request. */
@@ -71,6 +75,8 @@
   readonly executedIds: string[] = []
   /** Headers of the most recent request. */
   lastHeaders: Readonly<Record<string, string | string[] | undefined>> = {}
+  /** Bytes written in the mode `endless chunks`. */
+  bytesOfSmallChunks = 0
   /** Requests whose connection closed before the answer was complete. */
   cancelled = 0
   readonly #id: string
@@ -150,7 +156,8 @@
     const headers = { 'attempt-id': this.mode === 'confused' ? 'another' : id, 'server-signature': `${this.#id}.${id}`, 'server-load': `${this.#running},0,8` }
     if (this.requestsPerSec !== undefined) res.setHeader('server-limit', String(this.requestsPerSec))
     if (this.mode.startsWith('unframed')) res.useChunkedEncodingByDefault = false
-    if (this.mode === 'failing') res.writeHead(500, headers).end('failed')
+    if (this.mode === 'endless chunks') this.#writeSmallChunks(req.socket, headers)
+    else if (this.mode === 'failing') res.writeHead(500, headers).end('failed')
     else if (req.url?.startsWith('/stream') === true) this.#startStream(req, res, headers)
     else this.#answerCall(res, headers, `answer to ${id}: ${body.toString()}`.padEnd(this.minAnswerBytes, '.'))
   }
@@ -161,6 +168,21 @@
     else res.end(text)
   }
 
+  /** Writes chunks of a few bytes as fast as they are read, until the connection closes. */
+  #writeSmallChunks (socket: Socket, headers: Readonly<Record<string, string>>): void {
+    const head = Object.entries({ ...headers, 'transfer-encoding': 'chunked' }).map(header => `${header.join(': ')}\r\n`)
+    const chunks = Buffer.from(SMALL_CHUNK.repeat(SMALL_CHUNKS_A_WRITE))
+    socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}\r\n`)
+    const write = (): void => {
+      while (!socket.destroyed) {
+        this.bytesOfSmallChunks += chunks.length
+        if (!socket.write(chunks)) break
+      }
+      socket.once('drain', write)
+    }
+    write()
+  }
+
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
