Refuse a connection for good when its request can't be read

Cause: after a pause Node's timeout on heads is due before the input that waits is read. The 408 was written and only the writable side ended; the request was then read and forwarded. Nothing owned the promise of the status. Ruled out: a deadline (no attempt precedes the 408). Related, found by test: with a request running, a next one on its connection that comes too slowly or malformed made 408 or 400 the answer to the one that ran; the product's own interface had the same code, with "not-run" in it. Change: CallerConnections alone sends errors before a request is read, on both interfaces. It decides a timeout anew after the waiting input was read, sends no error that could be the answer to a request read whole, drops what comes on a refused connection, and reads on for a second after the error so that the close doesn't destroy it. Each refusal is logged.

--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -1,6 +1,5 @@
 /** HTTP server for callers: finds the route and the account of each request, reads its body and forwards it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
 import { err, ok, type Result } from 'neverthrow'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError, type RouteError } from '../common/Errors.js'
@@ -9,6 +8,7 @@
 import { promptKey } from '../common/routing/PromptPlacement.js'
 import type { RouteTable } from '../common/routing/RouteTable.js'
 import type { Account, CallerLimits, Route } from '../common/routing/Types.js'
+import { CallerConnections } from '../router/callers/CallerConnections.js'
 import { listen } from '../router/callers/HttpUtils.js'
 import { readBody } from '../router/callers/RequestBody.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -39,17 +39,19 @@
 export class CallerServer extends Disposable {
   readonly #services: CallerServerServices
   readonly #server: Server
+  readonly #connections: CallerConnections
   #active = 0
   #drainWindow: DrainWindow | undefined
 
   constructor (services: CallerServerServices) {
     super()
     this.#services = services
+    this.#connections = new CallerConnections(services.systemLog)
     this.#server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0 })
     this.#server.on('request', (req, res) => {
-      this.#serve(req, res).catch((e: unknown) => this.#onFailure(res, e))
+      if (this.#connections.accept(req, res)) this.#serve(req, res).catch((e: unknown) => this.#onFailure(res, e))
     })
-    this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => this.#onClientError(e, socket))
+    this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => this.#connections.onClientError(e, socket))
     this.own(services.config.onChange(table => this.#applyLimits(table.config.limits)))
     this.own(toDisposable(() => {
       this.#server.close()
@@ -133,16 +135,6 @@
     res.destroy()
   }
 
-  #onClientError (e: NodeJS.ErrnoException, socket: Duplex): void {
-    this.#services.systemLog.debug({ step: 'accept', err: e.code ?? e.message }, 'malformed request')
-    if (!socket.writable || e.code === 'ECONNRESET') {
-      socket.destroy()
-      return
-    }
-    const status = e.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : e.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-  }
-
   #applyLimits (limits: CallerLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs
     this.#server.keepAliveTimeout = limits.idleTimeoutMs
--- a/src/router/callers/CallerServer.ts
+++ b/src/router/callers/CallerServer.ts
@@ -11,6 +11,7 @@
 import { MAX_KEY_LENGTH } from '../../common/idempotency/KeyFormat.js'
 import type { AccountRateLimiter } from './AccountRateLimiter.js'
 import type { CallerAuth } from './CallerAuth.js'
+import { CallerConnections } from './CallerConnections.js'
 import type { ChatHandler } from '../engines/ChatHandler.js'
 import { headerOf, listen, sendError, timeoutOf } from './HttpUtils.js'
 import type { KeyOwner } from '../services/KeyOwner.js'
@@ -53,6 +54,7 @@
 export class CallerServer extends Disposable {
   readonly #deps: CallerServerDependencies
   readonly #server: Server
+  readonly #connections: CallerConnections
   #ready = false
   #draining = false
   #active = 0
@@ -60,6 +62,7 @@
   constructor (deps: CallerServerDependencies) {
     super()
     this.#deps = deps
+    this.#connections = new CallerConnections(deps.log)
     const app = this.#routes()
     this.#server = createAdaptorServer({
       fetch: app.fetch,
@@ -67,9 +70,9 @@
       serverOptions: { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, maxHeaderSize: MAX_HEADER_BYTES }
     }) as Server
     this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => {
-      const tooLong = e.code === 'HPE_HEADER_OVERFLOW'
-      const body = JSON.stringify(errorBody(routeError('invalid_request', 'accept', 'caller', tooLong ? 'The headers are too long.' : 'This is not HTTP.')))
-      if (socket.writable) socket.end(`HTTP/1.1 ${tooLong ? '431' : '400'} Bad Request\r\ncontent-type: application/json\r\nx-radishloft-outcome: not-run\r\ncontent-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`)
+      const detail = e.code === 'HPE_HEADER_OVERFLOW' ? 'The headers are too long.' : 'This is not HTTP, or not all of it came in time.'
+      const body = JSON.stringify(errorBody(routeError('invalid_request', 'accept', 'caller', detail)))
+      this.#connections.onClientError(e, socket, `content-type: application/json\r\n${HEADER.outcome}: not-run\r\n`, body)
     })
     this.own(toDisposable(() => this.#server.close()))
   }
@@ -103,7 +106,8 @@
   #routes (): Hono<Env> {
     const app = new Hono<Env>()
     app.use(async (c, next) => {
-      const { outgoing } = c.env
+      const { incoming, outgoing } = c.env
+      if (!this.#connections.accept(incoming, outgoing)) return RESPONSE_ALREADY_SENT
       this.#active++
       this.#deps.metrics.inFlight.set(this.#active)
       outgoing.on('close', () => {
