Accept no request late in a planned stop

Cause: a stop accepted what it expected to end in time, with constants for an answer's time. Nobody knows that time; a body that came slowly used it up too. Ruled out: an exit before the end of the grace time (cut at 7.68 s of 8). Weighed: the fleet's measured paces and queues are estimates as well; once the load balancer has left, a refusal costs a caller of a kept connection one round trip, once. Change: every request is accepted for 2.5 s, or half of a shorter grace time, none afterwards: 503, not run, Retry-After 0, Connection: close. Decided anew when the body has been read.

--- a/src/common/routing/DrainWindow.ts
+++ b/src/common/routing/DrainWindow.ts
@@ -1,29 +1,24 @@
 /**
- * Requests that an instance still accepts while it drains. Callers keep using open connections until the process exits.
- * Requests that are certain to end in time are served; a long answer that begins late would be cut off, so it is rejected
- * as not run.
+ * Requests that an instance still accepts while it drains. Callers keep using open connections until the process exits. While the load
+ * balancer still sends new ones, every request is accepted. Afterwards none is: its caller loses a round trip by coming back at another
+ * instance, but loses the answer when it is broken off, and nothing tells how long an answer will take.
  */
-import type { Prompt } from './Types.js'
 
-const ACCEPT_ALL_MS = 2_500 // the load balancer still sends new connections for about two of its probe intervals
-const DECODE_MS_PER_TOKEN = 12 // on a busy engine
-const PREFILL_TOKENS_PER_MS = 20 // prefill rate of a busy engine
-const SHORT_ANSWER_MS = 800
+const ACCEPT_MS = 2_500 // the load balancer still sends new connections for about two of its probe intervals
+const ACCEPT_FRACTION = 0.5 // of a shorter grace time
 
-/** Start and end of the drain of an instance. */
+/** When an instance began to drain, and the time that it has until its process is killed. */
 export interface DrainWindow {
   readonly startedAt: number
-  /** When the process exits at the latest. */
-  readonly endsAt: number
+  readonly graceMs: number
 }
 
-/** Longest time in ms that an answer may take; answers of plain services have no prompt. */
-export function maxAnswerMs (prompt: Prompt | undefined): number {
-  if (prompt === undefined) return SHORT_ANSWER_MS
-  return prompt.promptTokens / PREFILL_TOKENS_PER_MS + prompt.maxAnswerTokens * DECODE_MS_PER_TOKEN
+/** Time from the start of a drain until no request is accepted any more. */
+export function acceptMs (graceMs: number): number {
+  return Math.min(ACCEPT_MS, graceMs * ACCEPT_FRACTION)
 }
 
-/** True when a request that arrives at `now` is accepted. */
-export function acceptsWhileDraining (drain: DrainWindow, prompt: Prompt | undefined, now: number): boolean {
-  return now - drain.startedAt < ACCEPT_ALL_MS || now + maxAnswerMs(prompt) < drain.endsAt
+/** True when a request that was read at `now` is accepted. */
+export function acceptsWhileDraining (drain: DrainWindow, now: number): boolean {
+  return now - drain.startedAt < acceptMs(drain.graceMs)
 }
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -68,7 +68,7 @@
     await listen(this.#server, address, port)
   }
 
-  /** Starts to drain: responses close their connection, and requests that can't finish in time are rejected. */
+  /** Starts to drain: responses close their connection, and late requests are rejected. */
   drain (window: DrainWindow): void {
     this.#drainWindow = window
   }
@@ -89,7 +89,10 @@
       return
     }
     const { request, route, account, table } = admitted.value
-    const body = await readBody(req, table.config.limits.maxBodyBytes)
+    const body = (await readBody(req, table.config.limits.maxBodyBytes)).andThen(bytes => {
+      const late = this.#lateError() // a body may take long, and nothing of the request has been sent yet
+      return late === undefined ? ok(bytes) : err(late)
+    })
     if (body.isErr()) {
       this.#sendError(response, request, body.error)
       return
@@ -108,12 +111,21 @@
     const found = table.route(request.host, request.path)
     if (found.isNothing) return err(this.#notConfigured('route_not_found'))
     const route = found.value
-    if (this.#drainWindow !== undefined && !acceptsWhileDraining(this.#drainWindow, request.prompt, this.#services.clock.nowMs())) return err(routeError('stopping', 'admit', 'caller', '', RETRY_AFTER_MS))
+    const late = this.#lateError()
+    if (late !== undefined) return err(late)
     if (table.config.accounts === undefined || route.open) return ok({ request, route, account: undefined, table })
     const account = table.account(request.apiKey ?? '')
     return account.isNothing ? err(this.#notConfigured('invalid_api_key')) : ok({ request, route, account: account.value, table })
   }
 
+  /** Error for a request that comes too late in a drain: another instance can take it at once. */
+  #lateError (): RouteError | undefined {
+    const drain = this.#drainWindow
+    if (drain === undefined) return undefined
+    const now = this.#services.clock.nowMs()
+    return acceptsWhileDraining(drain, now) ? undefined : routeError('stopping', 'admit', 'caller', `drains for ${Math.round(now - drain.startedAt)} ms`, 0)
+  }
+
   /** Error for a route or key that isn't configured; a newer configuration that this instance hasn't read yet may have it. */
   #notConfigured (code: 'route_not_found' | 'invalid_api_key'): RouteError {
     const { ageMs, revision } = this.#services.config
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -4,6 +4,7 @@
 import { SharedRetryBudget } from '../common/limits/SharedRetryBudget.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
 import type { ViewVersion } from '../common/peers/ViewVersion.js'
+import { acceptMs } from '../common/routing/DrainWindow.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
 import type { IClock, IEvent, IRandom } from '../common/Services.js'
 import { probeByConnecting } from '../router/engines/ConnectProbe.js'
@@ -25,7 +26,6 @@
 import type { IRequestCodec } from './Types.js'
 
 const STOP_POLL_MS = 50
-const IDLE_CLOSE_MS = 3_000 // by then the load balancer opens no new connections
 const MIN_DRAIN_MS = 4_000
 const STOP_MARGIN_MS = 350 // left before the platform kills the process
 const MIN_PEERS = 4 // a gateway that has just started has discovered few of its peers
@@ -193,16 +193,16 @@
     this.#log.info({ step: 'reload', graceMs, retryRatio, retryBurst, retryWindowMs }, 'settings reloaded')
   }
 
-  /** Stops gracefully: reports unready at once, still serves requests that arrive, and near the end rejects those that it couldn't finish. */
+  /** Stops gracefully: reports unready at once, still serves requests that arrive while the load balancer sends some, and then ends those in flight. */
   async stop (): Promise<void> {
     const startedAt = this.#clock.nowMs()
     const elapsed = (): number => this.#clock.nowMs() - startedAt
     const { graceMs } = this.#settings
     this.#stopping = true
     this.#peers.leave()
-    this.#callerServer.drain({ startedAt, endsAt: startedAt + graceMs - STOP_MARGIN_MS })
+    this.#callerServer.drain({ startedAt, graceMs })
     this.#log.info({ step: 'stop', inFlight: this.#callerServer.active, graceMs }, 'stopping')
-    await sleep(Math.min(IDLE_CLOSE_MS, graceMs / 2))
+    await sleep(acceptMs(graceMs))
     while (elapsed() < graceMs - STOP_MARGIN_MS) {
       this.#callerServer.closeIdle()
       if (elapsed() > MIN_DRAIN_MS && this.#callerServer.active === 0) break
--- /dev/null
+++ b/src/platform/PlannedStop.test.ts
@@ -0,0 +1,110 @@
+/** End-to-end tests on loopback of callers that keep using their connections while a gateway stops. */
+import { Agent, request, type IncomingMessage } from 'node:http'
+import { connect, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { PlatformWorker } from '../standin/PlatformWorker.js'
+import { freePort } from '../tools/FreePort.js'
+import { createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+
+const GRACE_MS = 3_000
+const ACCEPT_MS = GRACE_MS / 2
+const EVENT_INTERVAL_MS = 600 // four events, so that a stream takes longer than requests are accepted
+const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
+const HEADERS = { host: 'a.example', 'deadline-ms': '9000', authorization: 'Bearer k1' }
+
+let store: PlatformStore
+let worker: PlatformWorker
+let gateway: RunningGateway
+let agent: Agent
+const sockets: Socket[] = []
+
+interface Answer {
+  readonly status: number
+  readonly body: string
+  readonly connection: string | undefined
+  readonly retryAfter: string | undefined
+}
+
+async function readAnswer (res: IncomingMessage): Promise<Answer> {
+  let body = ''
+  for await (const chunk of res) body += String(chunk)
+  return { status: res.statusCode ?? 0, body, connection: res.headers.connection, retryAfter: res.headers['retry-after'] as string | undefined }
+}
+
+/** Sends a request on the one connection of `agent`. */
+async function send (path: string, id: string, more: Readonly<Record<string, string>> = {}): Promise<Answer> {
+  return await new Promise((resolve, reject) => {
+    const req = request({ agent, port: gateway.port, host: '127.0.0.1', method: 'POST', path, headers: { ...HEADERS, 'attempt-id': id, ...more } }, res => {
+      readAnswer(res).then(resolve, reject)
+    })
+    req.on('error', reject)
+    req.end('hello')
+  })
+}
+
+/** Begins an upload in chunks on a connection of its own; what has come on it so far, and its end. */
+function beginUpload (id: string): { readonly socket: Socket, readonly text: () => string, readonly ended: Promise<void> } {
+  let text = ''
+  const headers = Object.entries({ ...HEADERS, 'attempt-id': id, 'transfer-encoding': 'chunked' }).map(header => header.join(': '))
+  const socket = connect(gateway.port, '127.0.0.1', () => socket.write(`POST /write/1 HTTP/1.1\r\n${headers.join('\r\n')}\r\n\r\n5\r\nhello\r\n`))
+  sockets.push(socket)
+  socket.on('data', chunk => { text += String(chunk) })
+  socket.on('error', () => { text += ' RESET' })
+  return { socket, text: () => text, ended: new Promise(resolve => socket.once('close', () => resolve())) }
+}
+
+beforeEach(async () => {
+  store = new PlatformStore()
+  const storePort = await store.listen()
+  worker = new PlatformWorker('w1', { eventIntervalMs: EVENT_INTERVAL_MS })
+  await worker.listen()
+  store.put('servers/w1', worker.storeEntry('pool'))
+  const config = createConfig(7) as { readonly routes: ReadonlyArray<Readonly<Record<string, unknown>>> }
+  store.put('op/config', { ...config, routes: config.routes.map(route => ({ ...route, timeout_ms: 9_000 })) })
+  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {}, GRACE_MS)
+  agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  await waitUntil(() => gateway.gateway.ready)
+})
+
+afterEach(() => {
+  agent.destroy()
+  sockets.splice(0).forEach(socket => socket.destroy())
+  gateway.stop()
+  worker.close()
+  store.close()
+})
+
+describe('a gateway that stops', () => {
+  // Requests of kept connections were taken until late in the stop, and broken off at its end.
+  it('refuses a request as not run that comes on a kept connection after the load balancer has left, and ends the answer before it', async () => {
+    const first = send('/stream/1', 'r1', PROMPT)
+    await waitUntil(() => worker.executedIds.length > 0)
+    const stopped = gateway.gateway.stop()
+    const { status, body } = await first
+    const second = await send('/stream/1', 'r2', PROMPT)
+    await stopped
+    expect([status, body.match(/^id:/gm)?.length]).toEqual([200, 4])
+    expect([second.status, second.connection, second.retryAfter, worker.executedIds]).toEqual([503, 'close', '0.00', ['r1']])
+  })
+
+  it('serves requests while the load balancer may still send them, and asks for another connection', async () => {
+    const stopped = gateway.gateway.stop()
+    await sleep(ACCEPT_MS / 2)
+    const answer = await send('/write/1', 'r1')
+    await stopped
+    expect([answer.status, answer.connection]).toEqual([200, 'close'])
+  })
+
+  // A request was accepted by its head alone, however long its body took.
+  it('refuses a request as not run whose body is read only after that', async () => {
+    const upload = beginUpload('r1')
+    await sleep(50)
+    const stopped = gateway.gateway.stop()
+    await sleep(ACCEPT_MS + 100)
+    upload.socket.write('0\r\n\r\n')
+    await upload.ended
+    await stopped
+    expect([upload.text().slice(0, 12), worker.executedIds]).toEqual(['HTTP/1.1 503', []])
+  })
+})
