Give the end of a connection one owner, and a stop an order

Change: CallerConnections half closes a connection after its last answer and reads on for a second, on both interfaces. A stop refuses late requests, ends idle connections, accepts those that wait (one in each turn of the event loop), closes the listener, refuses unfinished bodies, and waits 150 ms. Open: connections that wait under a load that one accept a turn can't keep up with are reset unread.

--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: finds the route and the account of each request, reads its body and forwards it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 import { err, ok, type Result } from 'neverthrow'
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError, type RouteError } from '../common/Errors.js'
@@ -9,7 +10,7 @@
 import type { RouteTable } from '../common/routing/RouteTable.js'
 import type { Account, CallerLimits, Route } from '../common/routing/Types.js'
 import { CallerConnections } from '../router/callers/CallerConnections.js'
-import { listen } from '../router/callers/HttpUtils.js'
+import { listen, stopListening } from '../router/callers/HttpUtils.js'
 import { readBody } from '../router/callers/RequestBody.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { CallerResponse } from './CallerResponse.js'
@@ -21,6 +22,8 @@
 const TIMEOUT_CHECK_MS = 1_000
 const MAX_CONFIRMED_AGE_MS = 3_000 // an older configuration must not reject a caller's route or key as unknown
 const RETRY_AFTER_MS = 300
+const CLOSE_POLL_MS = 10
+const MAX_ACCEPT_MS = 50
 
 /** A request that the configuration allows, with its route and account. */
 interface AdmittedRequest {
@@ -42,12 +45,15 @@
   readonly #connections: CallerConnections
   #active = 0
   #drainWindow: DrainWindow | undefined
+  /** For each body that is being read, rejects its request when it is too late in a drain. */
+  readonly #bodyReads = new Set<() => void>()
 
   constructor (services: CallerServerServices) {
     super()
     this.#services = services
     this.#connections = new CallerConnections(services.systemLog)
     this.#server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0 })
+    this.#connections.attach(this.#server)
     this.#server.on('request', (req, res) => {
       if (this.#connections.accept(req, res)) this.#serve(req, res).catch((e: unknown) => this.#onFailure(res, e))
     })
@@ -73,8 +79,30 @@
     this.#drainWindow = window
   }
 
+  /** Ends connections that wait for their next request. */
   closeIdle (): void {
-    this.#server.closeIdleConnections()
+    this.#connections.closeIdle()
+  }
+
+  /** Takes no more connections, rejects requests whose bodies are still being read, and waits at most `lingerMs` until callers have read their answers. */
+  async close (lingerMs: number): Promise<void> {
+    await this.#acceptWaiting()
+    stopListening(this.#server)
+    for (const reject of this.#bodyReads) reject()
+    const end = this.#services.clock.nowMs() + lingerMs
+    while (this.#connections.openCount > 0 && this.#services.clock.nowMs() < end) {
+      await sleep(CLOSE_POLL_MS)
+      this.#connections.closeIdle()
+    }
+  }
+
+  /** Waits until the connections that the system has established for the server are accepted: one in each turn of the event loop. */
+  async #acceptWaiting (): Promise<void> {
+    const end = this.#services.clock.nowMs() + MAX_ACCEPT_MS
+    for (let before = -1; before !== this.#connections.acceptedCount && this.#services.clock.nowMs() < end;) {
+      before = this.#connections.acceptedCount
+      await nextTurn()
+    }
   }
 
   async #serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -89,10 +117,7 @@
       return
     }
     const { request, route, account, table } = admitted.value
-    const body = (await readBody(req, table.config.limits.maxBodyBytes)).andThen(bytes => {
-      const late = this.#lateError() // a body may take long, and nothing of the request has been sent yet
-      return late === undefined ? ok(bytes) : err(late)
-    })
+    const body = await this.#readBody(req, table.config.limits.maxBodyBytes)
     if (body.isErr()) {
       this.#sendError(response, request, body.error)
       return
@@ -103,6 +128,22 @@
     ).run()
   }
 
+  /** Reads a body. When it comes too late in a drain, the request is rejected, as nothing of it has been sent yet. */
+  async #readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
+    return await new Promise((resolve, reject) => {
+      const rejectLate = (): void => {
+        const late = this.#lateError()
+        if (late !== undefined) resolve(err(late))
+      }
+      this.#bodyReads.add(rejectLate)
+      readBody(req, maxBytes).then(body => {
+        this.#bodyReads.delete(rejectLate)
+        rejectLate()
+        resolve(body)
+      }, reject)
+    })
+  }
+
   #admit (request: RoutedRequest, req: IncomingMessage): Result<AdmittedRequest, RouteError> {
     const table = this.#services.config.table
     if (table === undefined) return err(routeError('not_ready', 'accept', 'caller', '', RETRY_AFTER_MS))
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -28,6 +28,7 @@
 const STOP_POLL_MS = 50
 const MIN_DRAIN_MS = 4_000
 const STOP_MARGIN_MS = 350 // left before the platform kills the process
+const LINGER_MS = 150 // of that margin, for callers to read their last answers
 const MIN_PEERS = 4 // a gateway that has just started has discovered few of its peers
 
 /** An address to listen on. */
@@ -208,6 +209,7 @@
       if (elapsed() > MIN_DRAIN_MS && this.#callerServer.active === 0) break
       await sleep(STOP_POLL_MS)
     }
+    await this.#callerServer.close(LINGER_MS)
     this.#log.info({ step: 'stop', cut: this.#callerServer.active, afterMs: Math.round(elapsed()) }, 'stopped')
     this.dispose()
   }
--- a/src/platform/PlannedStop.test.ts
+++ b/src/platform/PlannedStop.test.ts
@@ -10,6 +10,11 @@
 const GRACE_MS = 3_000
 const ACCEPT_MS = GRACE_MS / 2
 const EVENT_INTERVAL_MS = 600 // four events, so that a stream takes longer than requests are accepted
+const CALLERS = 40
+const BODY_MS = 5
+const THINK_MS = 40
+const RETRY_MS = 20
+const LOSS_SLACK_MS = 200
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 const HEADERS = { host: 'a.example', 'deadline-ms': '9000', authorization: 'Bearer k1' }
 
@@ -54,6 +59,35 @@
   return { socket, text: () => text, ended: new Promise(resolve => socket.once('close', () => resolve())) }
 }
 
+/** How a call ended: answered whole, refused a connection, or neither. */
+interface Call {
+  readonly id: string
+  readonly end: 'answered' | 'refused' | 'unanswered'
+  readonly reason: string
+  /** True when it was sent on a connection that had been used before. */
+  readonly reused: boolean
+  /** From its last byte to its end. */
+  readonly afterMs: number
+}
+
+/** Sends a call whose body comes in two chunks. */
+async function callOnce (id: string, own: Agent | false): Promise<Call> {
+  return await new Promise(resolve => {
+    const req = request({ agent: own, port: gateway.port, host: '127.0.0.1', method: 'POST', path: '/write/1', headers: { ...HEADERS, 'attempt-id': id } })
+    let sentAt = performance.now()
+    const finish = (end: Call['end'], reason: string): void => resolve({ id, end, reason, reused: req.reusedSocket, afterMs: performance.now() - sentAt })
+    req.on('response', res => {
+      readAnswer(res).then(answer => finish('answered', String(answer.status)), (e: unknown) => finish('unanswered', String(e)))
+    })
+    req.on('error', (e: NodeJS.ErrnoException) => finish(e.code === 'ECONNREFUSED' ? 'refused' : 'unanswered', e.code ?? e.message))
+    req.write('first')
+    setTimeout(() => {
+      sentAt = performance.now()
+      req.end('second')
+    }, BODY_MS)
+  })
+}
+
 beforeEach(async () => {
   store = new PlatformStore()
   const storePort = await store.listen()
@@ -107,4 +141,26 @@
     await stopped
     expect([upload.text().slice(0, 12), worker.executedIds]).toEqual(['HTTP/1.1 503', []])
   })
+
+  // When the process ended, requests that had just been sent, on new connections too, were reset without an answer.
+  it('answers all that is sent to it until it takes no more connections, and passes nothing on that it can\'t answer', async () => {
+    const calls: Call[] = []
+    const load = { stopped: false }
+    const agents = Array.from({ length: CALLERS }, () => new Agent({ keepAlive: true, maxSockets: 1 }))
+    const callers = agents.map(async (own, i) => {
+      for (let n = 0; !load.stopped; n++) {
+        const result = await callOnce(`c${i}-${n}`, i % 2 === 0 ? own : false)
+        calls.push(result)
+        await sleep(result.end === 'refused' ? RETRY_MS : THINK_MS)
+      }
+    })
+    await sleep(300)
+    await gateway.gateway.stop()
+    load.stopped = true
+    await Promise.all(callers)
+    agents.forEach(own => own.destroy())
+    const unanswered = calls.filter(c => c.end === 'unanswered')
+    expect(calls.filter(c => c.end === 'answered').length).toBeGreaterThan(CALLERS)
+    expect(unanswered.filter(c => !c.reused || c.afterMs > LOSS_SLACK_MS || worker.executedIds.includes(c.id))).toEqual([])
+  })
 })
--- a/src/router/callers/CallerConnections.ts
+++ b/src/router/callers/CallerConnections.ts
@@ -1,8 +1,9 @@
 /**
- * Connections of callers. Owns the errors that are sent before a request could be read: their statuses promise that it was not run and
- * never will be, so no request of a connection that was refused is run afterwards.
+ * Connections of callers, and how they end: after the last answer has been read. Owns the errors that are sent before a request could be
+ * read: their statuses promise that it was not run and never will be, so no request of such a connection is run afterwards.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Log } from '../telemetry/Log.js'
 
@@ -19,29 +20,66 @@
   readonly pending: Set<ServerResponse>
   /** Requests whose heads were read. */
   requests: number
-  refused: boolean
+  /** True when no further request of it is taken. */
+  ending: boolean
 }
 
 export class CallerConnections {
   readonly #log: Log
   readonly #connections = new WeakMap<Duplex, Connection>()
+  readonly #open = new Set<Socket>()
+  #accepted = 0
 
   constructor (log: Log) {
     this.#log = log
   }
 
-  /** Records a request whose head was read; false when its connection was refused, so that the request must not run. */
+  /** Number of connections that haven't closed. */
+  get openCount (): number {
+    return this.#open.size
+  }
+
+  /** Number of connections that have been accepted so far. */
+  get acceptedCount (): number {
+    return this.#accepted
+  }
+
+  /** Takes over the connections of a server. */
+  attach (server: Server): void {
+    server.on('connection', (socket: Socket) => {
+      this.#accepted++
+      this.#open.add(socket)
+      socket.once('close', () => this.#open.delete(socket))
+      // called by Node after the last answer; its own one closes at once, and bytes that weren't read would make that a reset
+      socket.destroySoon = () => {
+        this.#connection(socket).ending = true
+        endAndLinger(socket)
+      }
+    })
+  }
+
+  /** Ends connections that have been used and wait for their next request. */
+  closeIdle (): void {
+    for (const socket of this.#open) {
+      const connection = this.#connection(socket)
+      if (connection.ending || connection.requests === 0 || connection.pending.size > 0) continue
+      connection.ending = true
+      endAndLinger(socket)
+    }
+  }
+
+  /** Records a request whose head was read; false when its connection ends, so that the request must not run. */
   accept (req: IncomingMessage, res: ServerResponse): boolean {
     const connection = this.#connection(req.socket)
     connection.requests++
-    if (connection.refused) {
-      this.#log.info({ step: 'accept', requests: connection.requests }, 'request on a refused connection dropped')
+    if (connection.ending) {
+      this.#log.info({ step: 'accept', requests: connection.requests }, 'request on a connection that ends dropped')
       return false
     }
     connection.pending.add(res)
     res.once('close', () => {
       connection.pending.delete(res)
-      if (connection.refused && connection.pending.size === 0) endAndLinger(req.socket)
+      if (connection.ending && connection.pending.size === 0) endAndLinger(req.socket)
     })
     return true
   }
@@ -60,7 +98,7 @@
     const connection = this.#connection(socket)
     const { requests } = connection
     const refuse = (): void => {
-      if (connection.refused || !socket.writable) return
+      if (connection.ending || !socket.writable) return
       this.#log.info({ step: 'accept', status, err: e.code ?? e.message, requests, unanswered: connection.pending.size }, 'connection refused')
       refuseConnection(socket, connection, errorText(status, headers, body))
     }
@@ -69,7 +107,7 @@
   }
 
   #connection (socket: Duplex): Connection {
-    const connection = this.#connections.get(socket) ?? { pending: new Set(), requests: 0, refused: false }
+    const connection = this.#connections.get(socket) ?? { pending: new Set(), requests: 0, ending: false }
     this.#connections.set(socket, connection)
     return connection
   }
@@ -77,7 +115,7 @@
 
 /** Sends an error, unless its caller would take it for the answer to a request that may have run: then the connection ends after that answer. */
 function refuseConnection (socket: Duplex, connection: Connection, error: string): void {
-  connection.refused = true
+  connection.ending = true
   const pending = [...connection.pending]
   if (pending.some(res => res.req.complete)) return
   endAndLinger(socket, pending.some(res => res.headersSent) ? '' : error)
@@ -92,9 +130,13 @@
   return `HTTP/1.1 ${status} ${REASONS[status]}\r\nConnection: close\r\n${headers}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
 }
 
-/** Ends the writable side, and the whole connection a moment later. */
+/** Ends the writable side and, a moment after the last byte of it was sent, the whole connection. */
 function endAndLinger (socket: Duplex, text = ''): void {
-  socket.end(text)
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
-  socket.once('close', () => clearTimeout(timer))
+  if (socket.writableEnded) return
+  if (text === '') socket.end()
+  else socket.end(text)
+  socket.once('finish', () => {
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+    socket.once('close', () => clearTimeout(timer))
+  })
 }
--- a/src/router/callers/CallerServer.ts
+++ b/src/router/callers/CallerServer.ts
@@ -13,7 +13,7 @@
 import type { CallerAuth } from './CallerAuth.js'
 import { CallerConnections } from './CallerConnections.js'
 import type { ChatHandler } from '../engines/ChatHandler.js'
-import { headerOf, listen, sendError, timeoutOf } from './HttpUtils.js'
+import { headerOf, listen, sendError, stopListening, timeoutOf } from './HttpUtils.js'
 import type { KeyOwner } from '../services/KeyOwner.js'
 import type { Log } from '../telemetry/Log.js'
 import type { Metrics } from '../telemetry/Metrics.js'
@@ -69,6 +69,7 @@
       createServer,
       serverOptions: { keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0, maxHeaderSize: MAX_HEADER_BYTES }
     }) as Server
+    this.#connections.attach(this.#server)
     this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => {
       const detail = e.code === 'HPE_HEADER_OVERFLOW' ? 'The headers are too long.' : 'This is not HTTP, or not all of it came in time.'
       const body = JSON.stringify(errorBody(routeError('invalid_request', 'accept', 'caller', detail)))
@@ -99,8 +100,8 @@
 
   /** Stops accepting connections and closes idle ones. */
   close (): void {
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    stopListening(this.#server)
+    this.#connections.closeIdle()
   }
 
   #routes (): Hono<Env> {
--- a/src/router/callers/HttpUtils.ts
+++ b/src/router/callers/HttpUtils.ts
@@ -1,5 +1,6 @@
 /** Helpers for the HTTP listeners. */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import { err, ok, type Result } from 'neverthrow'
 import { HEADER, REQUEST_TIMEOUT_MS } from '../../common/Constants.js'
 import { ERROR_CODES, errorBody, routeError, type RouteError } from '../../common/Errors.js'
@@ -14,6 +15,11 @@
   })
 }
 
+/** Accepts no more connections. Node's own `close` also destroys connections whose last answer hasn't been sent completely. */
+export function stopListening (server: Server): void {
+  NetServer.prototype.close.call(server)
+}
+
 /** Writes an error in the chat-completions format; closes the connection when the request body has not been read completely. */
 export function sendError (res: ServerResponse, error: RouteError, requestId?: string): void {
   if (res.headersSent || res.destroyed) {
