Leave out endpoints whose values are out of range, and outlive odd records

Cause: the form of an address was checked and not its range. Node throws for such a port, past the attempt: no answer, and a request counted as running for good. The same for a key with characters that no header takes. Ruled out: nesting (200,000 levels parse), an end of the process. Related: an exception as a list or a configuration was applied ended the reader for good. Change: ranges are checked at decoding; an exchange that can't be expressed in HTTP is reported as not sent; a reader logs an exception, backs off, goes on. Tests, failing before: Platform.test.ts, EndpointExchange.test.ts, StoreReaders.test.ts (four tests).

--- a/src/gateway/EndpointExchange.test.ts
+++ b/src/gateway/EndpointExchange.test.ts
@@ -26,11 +26,11 @@
   return (server.address() as AddressInfo).port
 }
 
-async function exchange (agent: EndpointAgent, port: number): Promise<Outcome> {
+async function exchange (agent: EndpointAgent, port: number, headers = ['Host', 'a']): Promise<Outcome> {
   return await new Promise(resolve => {
     let status = 0
     let body = ''
-    const call = { address: '127.0.0.1', port, method: 'GET', target: '/', headers: ['Host', 'a'], body: Buffer.alloc(0), connectTimeoutMs: 1_000 }
+    const call = { address: '127.0.0.1', port, method: 'GET', target: '/', headers, body: Buffer.alloc(0), connectTimeoutMs: 1_000 }
     const sink = {
       onHead: (code: number) => { status = code },
       onData: (chunk: Buffer) => { body += chunk.toString() },
@@ -70,6 +70,13 @@
     expect(await exchange(new EndpointAgent(), port)).toEqual({ result: 'connect', status: 0, body: '', sent: false })
   })
 
+  // The constructor threw: the caller's connection was closed without an answer, and the endpoint counted a request as running for good.
+  it('reports that nothing was sent when the address or a header can\'t be expressed in HTTP', async () => {
+    const port = await endpoint(socket => socket.end(LENGTH_DELIMITED))
+    const results = await Promise.all([exchange(new EndpointAgent(), 70_000), exchange(new EndpointAgent(), port, ['Host', 'a\r\nb'])])
+    expect(results).toEqual(Array(2).fill({ result: 'connect', status: 0, body: '', sent: false }))
+  })
+
   it('treats a response that ends before its Content-Length as incomplete', async () => {
     const port = await endpoint(socket => socket.end(LENGTH_DELIMITED.replace('Content-Length: 2', 'Content-Length: 5')))
     expect(await exchange(new EndpointAgent(), port)).toMatchObject({ result: 'reset', body: 'ok' })
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -33,7 +33,8 @@
 }
 
 export class EndpointExchange {
-  readonly #req: ClientRequest
+  /** Undefined when the request can't be expressed in HTTP, as with an address or header that isn't valid. */
+  readonly #req: ClientRequest | undefined
   readonly #sink: IExchangeSink
   readonly #body = new PieceJoiner(bytes => { if (!this.#settled) this.#sink.onData(bytes) })
   #res: IncomingMessage | undefined
@@ -45,14 +46,11 @@
 
   constructor (agent: EndpointAgent, call: ExchangeRequest, sink: IExchangeSink) {
     this.#sink = sink
-    const { address: host, port, method, target: path } = call
-    this.#req = request({ agent, host, port, method, path, setHost: false, headers: call.headers as unknown as string[] })
-    this.#req.on('socket', socket => this.#onSocket(socket, call.connectTimeoutMs))
-    this.#req.on('response', res => this.#onResponse(res))
-    this.#req.on('error', e => this.#fail(e.message))
-    this.#req.on('close', () => this.#fail('closed before the answer'))
-    if (call.body.length > 0) this.#req.end(call.body)
-    else this.#req.end()
+    try {
+      this.#req = this.#start(agent, call)
+    } catch (e) {
+      queueMicrotask(() => this.#fail(String(e)))
+    }
   }
 
   /** True once bytes of the request may have reached the endpoint. */
@@ -80,6 +78,18 @@
     this.#res?.resume()
   }
 
+  #start (agent: EndpointAgent, call: ExchangeRequest): ClientRequest {
+    const { address: host, port, method, target: path } = call
+    const req = request({ agent, host, port, method, path, setHost: false, headers: call.headers as unknown as string[] })
+    req.on('socket', socket => this.#onSocket(socket, call.connectTimeoutMs))
+    req.on('response', res => this.#onResponse(res))
+    req.on('error', e => this.#fail(e.message))
+    req.on('close', () => this.#fail('closed before the answer'))
+    if (call.body.length > 0) req.end(call.body)
+    else req.end()
+    return req
+  }
+
   #onSocket (socket: Socket, connectTimeoutMs: number): void {
     if (this.#settled) {
       socket.destroy()
@@ -107,7 +117,7 @@
     }
     this.#res = res
     this.#framing = framingOf({
-      method: this.#req.method,
+      method: this.#req?.method ?? '',
       status: res.statusCode ?? 0,
       contentLength: res.headers['content-length'],
       transferEncoding: res.headers['transfer-encoding']
@@ -142,6 +152,6 @@
     this.#settled = true
     this.#connectTimeout?.dispose()
     this.#sink.onError(this.#failure, this.#sent, detail)
-    this.#req.destroy()
+    this.#req?.destroy()
   }
 }
--- a/src/platform/Platform.test.ts
+++ b/src/platform/Platform.test.ts
@@ -35,6 +35,23 @@
     ]
     expect(malformed.map(value => parseEndpoint(item('servers/i-1', value)))).toEqual(malformed.map(() => undefined))
     expect(parseEndpoint(item('servers/', entry))).toBeUndefined()
+  })
+
+  // An entry with a port out of range was taken as an endpoint, and each request that was sent there ended without an answer.
+  it('give undefined when a value is out of range', () => {
+    const ports = ['0', '70000', '65536', '1e3', '-1', '1000000000000000000000', '']
+    const odd = [
+      ...ports.map(port => ({ ...entry, address: `10.0.0.9:${port}` })), { ...entry, address: '999.0.0.1:80' }, { ...entry, address: '10.0.0.9:80:80' },
+      { ...entry, slots: 1e308 }, { ...entry, slots: -5 }, { ...entry, slots: 0 }, { ...entry, slots: 1.5 }, { ...entry, born: 1e300 }, { ...entry, born: '17' }
+    ]
+    expect(odd.map(value => parseEndpoint(item('servers/i-1', value)))).toEqual(odd.map(() => undefined))
+    expect(['a\r\nb', 'ñ', 'a b', 'x'.repeat(201)].map(id => parseEndpoint(item(`servers/${id}`, entry)))).toEqual(Array(4).fill(undefined))
+    expect(parseEndpoint(item('servers/i-1', { ...entry, cold_left_ms: 1e308 }))?.warmUpMs).toBe(86_400_000)
+    const deep = `${JSON.stringify(entry).slice(0, -1)},"x":${'['.repeat(200_000)}${']'.repeat(200_000)}}`
+    expect([parseEndpoint(item('servers/i-1', deep)), parseEndpoint(item('servers/i-1', entry))].map(e => e?.port)).toEqual([8080, 8080])
+  })
+
+  it('tell whether an endpoint is leaving', () => {
     expect(parseEndpoint(item('servers/i-1', { ...entry, state: 'draining' }))?.leaving).toBe(true)
   })
 })
--- a/src/platform/Records.ts
+++ b/src/platform/Records.ts
@@ -1,4 +1,5 @@
 /** Decodes the records that the operator and the endpoints publish in the store. Malformed records decode to undefined. */
+import { isIPv4 } from 'node:net'
 import type { Account, CallerLimits, Endpoint, Route, RouteTarget, RoutingConfig, Service } from '../common/routing/Types.js'
 import type { StoreItem } from './StoreClient.js'
 
@@ -10,6 +11,11 @@
 const DEFAULT_TIMEOUT_MS = 30_000
 const DEFAULT_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
 
+const MAX_DURATION_MS = 86_400_000 // timers can't take much more than 24 days
+const MAX_SLOTS = 1_000_000
+const MAX_PORT = 65_535
+const ENDPOINT_ID = /^[\x21-\x7e]{1,200}$/ // it is sent in a header
+
 type Fields = Readonly<Record<string, unknown>>
 
 function asObject (value: unknown): Fields | undefined {
@@ -28,6 +34,16 @@
   return typeof value === 'number' && Number.isFinite(value) ? value : undefined
 }
 
+/** A duration in ms, at most a day; undefined when it isn't a number that is 0 or more. */
+function asDurationMs (value: unknown): number | undefined {
+  const ms = asNumber(value)
+  return ms === undefined || ms < 0 ? undefined : Math.min(ms, MAX_DURATION_MS)
+}
+
+function isCount (value: unknown, max: number): value is number {
+  return Number.isInteger(value) && (value as number) > 0 && (value as number) <= max
+}
+
 function parseJson (value: Buffer): Fields | undefined {
   try {
     return asObject(JSON.parse(value.toString('utf8')))
@@ -57,9 +73,9 @@
     idempotent: f.route_kind === 'idempotent',
     streaming: f.route_kind === 'streaming',
     resumable: f.resumable === true,
-    timeoutMs: asNumber(f.timeout_ms) ?? DEFAULT_TIMEOUT_MS,
-    latencyGoalMs: asNumber(f.latency_goal_ms) ?? DEFAULT_TIMEOUT_MS,
-    eventPauseGoalMs: asNumber(f.itl_target_ms) ?? 0,
+    timeoutMs: asDurationMs(f.timeout_ms) ?? DEFAULT_TIMEOUT_MS,
+    latencyGoalMs: asDurationMs(f.latency_goal_ms) ?? DEFAULT_TIMEOUT_MS,
+    eventPauseGoalMs: asDurationMs(f.itl_target_ms) ?? 0,
     maxAttempts: asNumber(f.max_attempts) ?? 1,
     priority: asNumber(f.priority) ?? 5,
     open: f.public === true
@@ -88,8 +104,8 @@
   return {
     maxHeaderBytes: asNumber(f?.max_header_bytes) ?? DEFAULT_LIMITS.maxHeaderBytes,
     maxBodyBytes: asNumber(f?.max_body_bytes) ?? DEFAULT_LIMITS.maxBodyBytes,
-    headerTimeoutMs: asNumber(f?.header_timeout_ms) ?? DEFAULT_LIMITS.headerTimeoutMs,
-    idleTimeoutMs: asNumber(f?.idle_timeout_ms) ?? DEFAULT_LIMITS.idleTimeoutMs
+    headerTimeoutMs: asDurationMs(f?.header_timeout_ms) ?? DEFAULT_LIMITS.headerTimeoutMs,
+    idleTimeoutMs: asDurationMs(f?.idle_timeout_ms) ?? DEFAULT_LIMITS.idleTimeoutMs
   }
 }
 
@@ -112,21 +128,22 @@
   const f = parseJson(item.value)
   const id = item.key.slice(ENDPOINT_PREFIX.length)
   const service = asString(f?.service)
-  const address = /^(\d+\.\d+\.\d+\.\d+):(\d+)$/.exec(asString(f?.address) ?? '')
-  if (f === undefined || id === '' || service === undefined || address === null) return undefined
+  const [, address = '', portText] = /^([\d.]+):(\d{1,5})$/.exec(asString(f?.address) ?? '') ?? []
+  const port = Number(portText)
+  if (f === undefined || !ENDPOINT_ID.test(id) || service === undefined || !isIPv4(address) || !isCount(port, MAX_PORT)) return undefined
   if (f.state !== 'ready' && f.state !== 'draining') return undefined
-  const slots = asNumber(f.slots)
+  const { slots } = f
   const startedAtMs = f.born === undefined ? 0 : f.born // start time of the endpoint in Unix ms
-  if (slots === undefined || typeof startedAtMs !== 'number' || !Number.isInteger(startedAtMs)) return undefined
+  if (!isCount(slots, MAX_SLOTS) || !Number.isSafeInteger(startedAtMs)) return undefined
   return {
     id,
     service,
-    address: address[1]!,
-    port: Number(address[2]),
+    address,
+    port,
     dataCentre: asString(f.zone) ?? '',
     slots,
     leaving: f.state === 'draining',
-    startedAtMs,
-    warmUpMs: asNumber(f.cold_left_ms) ?? 0
+    startedAtMs: startedAtMs as number,
+    warmUpMs: asDurationMs(f.cold_left_ms) ?? 0
   }
 }
--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -73,12 +73,12 @@
 }
 
 /** Counts the calls of a reader in virtual time. */
-async function countCalls (kind: 'config' | 'endpoints', answer: (call: number) => Answer): Promise<number> {
+async function countCalls (kind: 'config' | 'endpoints', answer: (call: number) => Answer, changes: Partial<IStoreReceiver> = {}): Promise<number> {
   let calls = 0
   let elapsedMs = 0
   const next = async (): Promise<Answer> => await Promise.resolve(answer(++calls))
   const reads: IStoreReads = { key: next, range: next, watch: next }
-  const receiver = createReceiver({})
+  const receiver = createReceiver(changes)
   const wait = async (ms: number): Promise<void> => {
     elapsedMs += ms
     if (elapsedMs >= VIRTUAL_MS) reader.dispose()
@@ -98,3 +98,13 @@
     expect(calls.map((n, i) => n > 0 && n <= max[i]!)).toEqual([true, true])
   })
 })
+
+// An exception as a list or a configuration was applied ended the reader for good: the instance followed neither any more.
+describe('the readers, when what they read can\'t be applied', () => {
+  const fail = (): never => { throw new Error('odd record') }
+
+  it.each(['config', 'endpoints'] as const)('go on, and back off: %s', async kind => {
+    const calls = await countCalls(kind, () => read(5), { confirmConfig: fail, updateEndpoints: fail })
+    expect([calls > 1, calls <= 2 * MAX_ROUNDS]).toEqual([true, true])
+  })
+})
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -71,13 +71,23 @@
   async run (): Promise<void> {
     while (!this.isDisposed) {
       const startedAt = performance.now()
-      const waitMs = await this.step()
+      const waitMs = await this.#stepSafely()
       const pauseMs = MIN_PAUSE_MS - (performance.now() - startedAt)
       if (waitMs > pauseMs) await this.#wait(waitMs)
       else if (pauseMs > 0) await this.#sleep(pauseMs)
     }
   }
 
+  /** Makes a step. An exception in one, as by an odd record, must not end the reader. */
+  async #stepSafely (): Promise<number> {
+    try {
+      return await this.step()
+    } catch (e) {
+      this.log.error({ step: 'store', reader: this.#name, err: String(e), stack: e instanceof Error ? e.stack : undefined }, 'read not applied')
+      return this.#backOff()
+    }
+  }
+
   /** Waits until the next step. A change of the readers ends the wait, unless the reader backs off. */
   async #wait (ms: number): Promise<void> {
     const abort = new AbortController()
