Send nothing to an endpoint that says it leaves, or asks for a pause

Cause: neither header was decoded. Change: both are decoded in platform/ from an endpoint's own answer to this request, kept with the state of its incarnation, and asked wherever a placement is made: retries, resumptions, trials of ejected endpoints. A pause that is no number above 0 is none; a longer one than a minute is a minute. When all endpoints are in a pause or at their limits, callers are refused at once with a time from the earliest end, spread.

--- a/src/common/routing/Candidates.ts
+++ b/src/common/routing/Candidates.ts
@@ -47,15 +47,15 @@
 
   /** The endpoint whose ejection ends first, for when all are ejected: a trial request there is preferable to rejecting the request. */
   firstToReadmit (): EndpointState | undefined {
-    const untried = this.#group.members.filter(e => this.#isUntried(e) && !e.isDeferred(this.#now))
+    const untried = this.#group.members.filter(e => this.#isUntried(e) && isOpen(e, this.#now))
     const reachable = untried.filter(e => this.#isReachable(e))
     return (reachable.length > 0 ? reachable : untried).reduce<EndpointState | undefined>(
       (best, e) => best === undefined || e.health.ejectedUntil < best.health.ejectedUntil ? e : best, undefined)
   }
 
-  /** Time in ms until the limit of an endpoint may take a further request; undefined when no endpoint is at its limit. */
-  limitWaitMs (): number | undefined {
-    const waits = this.#group.members.filter(e => e.isDeferred(this.#now)).map(e => e.deferredUntil - this.#now)
+  /** Time in ms until an endpoint at its limit, or in a pause, may take a further request; undefined when there is none. */
+  openWaitMs (): number | undefined {
+    const waits = this.#group.members.filter(e => e.isDeferred(this.#now) && !e.isLeaving).map(e => e.opensAt - this.#now)
     return waits.length === 0 ? undefined : Math.min(...waits)
   }
 
@@ -63,9 +63,9 @@
     return this.#isUntried(state) && this.#takesRequests(state) && this.#isReachable(state)
   }
 
-  /** True for an endpoint that is neither ejected nor at its limit. */
+  /** True for an endpoint that isn't ejected and takes requests by its own word. */
   #takesRequests (state: EndpointState): boolean {
-    return state.health.isAvailable(this.#now) && !state.isDeferred(this.#now)
+    return state.health.isAvailable(this.#now) && isOpen(state, this.#now)
   }
 
   #isUntried (state: EndpointState): boolean {
@@ -76,3 +76,8 @@
     return this.#filter.isReachable(state.endpoint.dataCentre)
   }
 }
+
+/** False for an endpoint that is at its limit, asked for a pause or said that it is leaving. */
+function isOpen (state: EndpointState, now: number): boolean {
+  return !state.isDeferred(now) && !state.isLeaving
+}
--- a/src/common/routing/EndpointState.ts
+++ b/src/common/routing/EndpointState.ts
@@ -37,6 +37,8 @@
   readonly health = new EndpointHealth()
   /** Time before which the endpoint's limit takes no further request. */
   deferredUntil = -Infinity
+  #pausedUntil = -Infinity
+  #leaving = false
   #limit: RequestLimit = { requestsPerSec: undefined, at: -Infinity }
   #totals: ILoadTotals | undefined
   #inFlight = 0
@@ -107,9 +109,33 @@
     return now - this.#limit.at < LIMIT_TTL_MS ? this.#limit.requestsPerSec : undefined
   }
 
-  /** True while the endpoint's limit is used up, as far as this instance knows. */
+  /** Time before which the endpoint takes no further request of this instance: its limit is used up, or it asked for a pause. */
+  get opensAt (): number {
+    return Math.max(this.deferredUntil, this.#pausedUntil)
+  }
+
+  /** True before `opensAt`. */
   isDeferred (now: number): boolean {
-    return now < this.deferredUntil
+    return now < this.opensAt
+  }
+
+  /** True once the endpoint itself said that it is leaving, whatever the published list says. */
+  get isLeaving (): boolean {
+    return this.#leaving
+  }
+
+  /** Records that the endpoint said that it is leaving; returns false when that was known. */
+  recordLeaving (): boolean {
+    const isNews = !this.#leaving
+    this.#leaving = true
+    return isNews
+  }
+
+  /** Records a pause that the endpoint asked for; returns false during one that ends later. */
+  recordPause (until: number): boolean {
+    if (until <= this.#pausedUntil) return false
+    this.#pausedUntil = until
+    return true
   }
 
   /** Records the limit that the endpoint named in an answer at `at`, undefined for none; returns false when a later answer is known. */
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -129,6 +129,20 @@
     this.#applyLimit(state, requestsPerSec, this.#clock.nowMs(), requestId)
   }
 
+  /** Records that an endpoint said in an answer that it is leaving. @param requestId request that was answered. */
+  recordLeaving (state: PooledEndpoint, requestId: string): void {
+    if (!state.recordLeaving()) return
+    state.agent.closeIdle()
+    const { id } = state.endpoint
+    this.#log.info({ step: 'endpoints', endpoint: id, requestId, listAgeMs: Math.round(this.listAgeMs), listedLeaving: this.table.get(id)?.leaving }, 'endpoint says that it is leaving')
+  }
+
+  /** Records that an endpoint refused a request and wants no other for `pauseMs`. @param requestId request that was refused. */
+  recordPause (state: PooledEndpoint, pauseMs: number, requestId: string): void {
+    if (!state.recordPause(this.#clock.nowMs() + pauseMs)) return
+    this.#log.info({ step: 'endpoints', endpoint: state.endpoint.id, requestId, pauseMs: Math.round(pauseMs), inFlight: state.inFlight }, 'endpoint wants a pause')
+  }
+
   /** Limits of endpoints to send to peers. */
   limitReports (): GossipedLimit[] {
     return this.#limits.select(this.#clock.nowMs())
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -60,9 +60,9 @@
     }
   }
 
-  /** Time in ms until an endpoint that is at its limit may take a request; undefined when none is. */
-  limitWaitMs (): number | undefined {
-    return this.#candidates().limitWaitMs()
+  /** Time in ms until an endpoint that is at its limit, or in a pause, may take a request; undefined when none is. */
+  openWaitMs (): number | undefined {
+    return this.#candidates().openWaitMs()
   }
 
   /** Excludes an endpoint from further choices, as an attempt is made there. */
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -120,8 +120,8 @@
   }
 
   #noChoiceError (): RouteError {
-    const limitWaitMs = this.#selector.limitWaitMs()
-    if (limitWaitMs !== undefined) return this.#createError('limit_reached', 'the limits of all endpoints are used up', this.#spread(limitWaitMs))
+    const waitMs = this.#selector.openWaitMs()
+    if (waitMs !== undefined) return this.#createError('limit_reached', 'all endpoints are at their limits or want a pause', this.#spread(waitMs))
     return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
   }
 
@@ -204,10 +204,19 @@
   #decodeHead (state: PooledEndpoint, status: number, headers: HeaderList): ResponseHead {
     const head = this.#services.codec.decodeResponse(this.#context.request, status, headers)
     if (head.trusted && head.load !== undefined) this.#services.pool.recordLoad(state, head.load.running + head.load.waiting)
-    if (head.trusted) this.#services.pool.recordLimit(state, head.requestsPerSec, this.#context.request.id)
+    if (head.trusted) this.#recordWord(state, head)
     return head
   }
 
+  /** Records what the endpoint says of itself in an answer. */
+  #recordWord (state: PooledEndpoint, head: ResponseHead): void {
+    const { pool } = this.#services
+    const { id } = this.#context.request
+    pool.recordLimit(state, head.requestsPerSec, id)
+    if (head.leaving) pool.recordLeaving(state, id)
+    if (head.pauseMs !== undefined) pool.recordPause(state, head.pauseMs, id)
+  }
+
   #recordAttempt (choice: EndpointChoice, result: AttemptResult, ms: number, answer: AnswerLine): void {
     const endpoint = choice.state.endpoint.id
     const load = Math.round(choice.load * 10) / 10
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -59,6 +59,10 @@
   readonly load: ReportedLoad | undefined
   /** Requests a second that the endpoint takes from all instances together; undefined when it names no limit. */
   readonly requestsPerSec: number | undefined
+  /** True when the endpoint says that it is leaving. */
+  readonly leaving: boolean
+  /** Time for which the endpoint, which refused the request, wants no further one from this instance; undefined when it names none. */
+  readonly pauseMs: number | undefined
   /** Headers to forward to the caller. */
   readonly passHeaders: HeaderList
 }
--- /dev/null
+++ b/src/platform/EndpointWord.test.ts
@@ -0,0 +1,105 @@
+/** End-to-end tests on loopback of endpoints that say in their answers that they are leaving, or want a pause. */
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { PlatformWorker } from '../standin/PlatformWorker.js'
+import { freePort } from '../tools/FreePort.js'
+import { call, createConfig, sleep, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
+
+const PAUSE_MS = 1_500
+const REQUESTS = 40
+const MAX_ARRIVALS = 2 // in a pause, by the platform's rule
+const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
+
+let store: PlatformStore
+let workers: PlatformWorker[]
+let gateway: RunningGateway
+const logLines: LogLine[] = []
+
+const sendMany = async (path: string, more: Readonly<Record<string, string>> = {}): Promise<CallResult[]> =>
+  await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => {
+    await sleep(i * 10)
+    return await call(gateway.port, path, more)
+  }))
+
+/** Sends requests until this worker has had one. */
+async function reach (worker: PlatformWorker, path: string, more: Readonly<Record<string, string>> = {}): Promise<void> {
+  const before = worker.arrivals.length
+  while (worker.arrivals.length === before) await call(gateway.port, path, more)
+}
+
+beforeEach(async () => {
+  store = new PlatformStore()
+  const storePort = await store.listen()
+  workers = ['w1', 'w2'].map(id => new PlatformWorker(id))
+  for (const w of workers) await w.listen()
+  workers.forEach((w, i) => store.put(`servers/w${i + 1}`, w.storeEntry('pool')))
+  store.put('op/config', createConfig(7))
+  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], line => { logLines.push(line) })
+  await waitUntil(() => gateway.gateway.ready)
+})
+
+afterEach(() => {
+  logLines.length = 0
+  gateway.stop()
+  workers.forEach(w => w.close())
+  store.close()
+})
+
+// The headers weren't decoded: an endpoint that left got requests for as long as the list named it.
+describe('an endpoint that says that it is leaving', () => {
+  it.each([['calls', '/read/1', {}], ['streams of a session', '/stream/1', PROMPT]] as const)('gets no new requests, though the list says that it is ready: %s', async (_, path, more) => {
+    await call(gateway.port, path, more)
+    const [leaving] = workers.filter(w => w.arrivals.length > 0)
+    leaving!.leaving = true
+    await reach(leaving!, path, more)
+    const before = leaving!.arrivals.length
+    const answers = await sendMany(path, more)
+    expect([leaving!.arrivals.length - before, answers.every(a => a.status === 200)]).toEqual([0, true])
+    expect(logLines.filter(line => line.msg === 'endpoint says that it is leaving').length).toBe(1)
+  })
+
+  it('is a new one after its next start', async () => {
+    workers[0]!.leaving = true
+    await reach(workers[0]!, '/read/1')
+    workers[0]!.leaving = false
+    store.put('servers/w1', { ...workers[0]!.storeEntry('pool'), born: 1_700_000_000_000 })
+    await reach(workers[0]!, '/read/1')
+  })
+})
+
+// An endpoint that refused with a time to come back got every request that it seemed to have room for.
+describe('an endpoint that refuses a request and asks for a pause', () => {
+  it('gets at most two requests in it, and requests again afterwards, while another one serves its callers', async () => {
+    workers[0]!.mode = 'full'
+    workers[0]!.retryAfter = String(PAUSE_MS / 1_000)
+    await reach(workers[0]!, '/read/1')
+    const before = workers[0]!.arrivals.length
+    const answers = await sendMany('/read/1')
+    expect(workers[0]!.arrivals.length - before).toBeLessThanOrEqual(MAX_ARRIVALS)
+    expect(answers.every(a => a.status === 200)).toBe(true)
+    workers[0]!.mode = 'well'
+    await sleep(PAUSE_MS)
+    await reach(workers[0]!, '/read/1')
+  })
+
+  it('makes callers come back when the first pause ends, when all endpoints ask for one', async () => {
+    workers.forEach((w, i) => {
+      w.mode = 'full'
+      w.retryAfter = String((i + 1) * PAUSE_MS / 1_000)
+    })
+    await reach(workers[0]!, '/write/1')
+    await reach(workers[1]!, '/write/1')
+    const before = workers.reduce((sum, w) => sum + w.arrivals.length, 0)
+    const answers = await sendMany('/write/1')
+    expect(workers.reduce((sum, w) => sum + w.arrivals.length, 0) - before).toBeLessThanOrEqual(MAX_ARRIVALS)
+    expect(answers.every(a => a.status === 503 && Number(a.retryAfter) > 0.5 && Number(a.retryAfter) < PAUSE_MS / 1_000 + 1.1)).toBe(true)
+    expect(new Set(answers.map(a => a.retryAfter)).size).toBeGreaterThan(REQUESTS / 2)
+  })
+
+  it.each(['-1', 'soon', '0', 'NaN', ''])('is not shut out by a value that names no time: "%s"', async value => {
+    workers.forEach(w => { w.retryAfter = value })
+    workers[0]!.mode = 'full'
+    await reach(workers[0]!, '/read/1')
+    await reach(workers[0]!, '/read/1')
+  })
+})
--- a/src/platform/HeaderNames.ts
+++ b/src/platform/HeaderNames.ts
@@ -13,6 +13,7 @@
   notRun: 'Not-Executed',
   load: 'Server-Load',
   requestLimit: 'Server-Limit', // requests a second that the endpoint takes from all instances together
+  leaving: 'Server-Leaving', // 1 in each answer of an endpoint that is leaving
   lastEventId: 'Last-Event-Id',
   promptSource: 'Kv-Fetch', // address of the engine to copy cached prompt parts from
   retryAfter: 'Retry-After',
@@ -23,7 +24,7 @@
 /** Headers that callers may not set: they are dropped from requests. */
 export const RESERVED_HEADERS: ReadonlySet<string> = new Set([
   HEADER.authorization, HEADER.account, HEADER.endpointId, HEADER.priority, HEADER.deadline,
-  'Expect-Version', HEADER.promptSource, 'Kv-From', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load', HEADER.requestLimit
+  'Expect-Version', HEADER.promptSource, 'Kv-From', 'Kv-Backup', 'Cache-Hold', 'Pin-Ms', 'Not-Executed', 'Server-Signature', 'Instance-Id', 'Server-Load', HEADER.requestLimit, HEADER.leaving
 ].map(name => name.toLowerCase()))
 
 /** Headers that apply to a single connection and aren't forwarded. */
--- a/src/platform/RequestCodec.ts
+++ b/src/platform/RequestCodec.ts
@@ -9,6 +9,8 @@
 const MIN_SUCCESS_STATUS = 200
 const MIN_REDIRECT_STATUS = 300
 const MISDIRECTED_STATUS = 421
+const UNAVAILABLE_STATUS = 503
+const MAX_PAUSE_MS = 60_000 // a longer one would shut an endpoint out for a mistake of its own
 const HIGHEST_PRIORITY = 0
 const LOWEST_PRIORITY = 9
 
@@ -50,6 +52,12 @@
   return Number.isFinite(rate) && rate >= 0 ? rate : undefined
 }
 
+/** Wait in ms that a header names in seconds; undefined when it isn't a number above 0. */
+function parsePause (text: string | undefined): number | undefined {
+  const ms = Number(text ?? NaN) * 1_000
+  return ms > 0 ? Math.min(ms, MAX_PAUSE_MS) : undefined
+}
+
 const NO_HEADERS: ReadonlySet<string> = new Set()
 
 export class RequestCodec implements IRequestCodec {
@@ -98,6 +106,8 @@
       isEventStream: /^text\/event-stream\s*(;|$)/i.test(getHeader(headers, 'content-type') ?? ''),
       load: parseLoad(getHeader(headers, HEADER.load)),
       requestsPerSec: parseRate(getHeader(headers, HEADER.requestLimit)),
+      leaving: !misdirected && getHeader(headers, HEADER.leaving) === '1',
+      pauseMs: status === UNAVAILABLE_STATUS ? parsePause(getHeader(headers, HEADER.retryAfter)) : undefined,
       passHeaders: omitHeaders(headers, NO_HEADERS)
     }
   }
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -65,6 +65,10 @@
   mode: WorkerMode = 'well'
   /** Limit that the worker names in its answers, in requests a second; undefined for none. */
   requestsPerSec: number | undefined
+  /** True to say in each answer that the worker is leaving. */
+  leaving = false
+  /** Value of `Retry-After` in refusals; undefined for none. */
+  retryAfter: string | undefined
   /** Media type of answers that aren't streams. */
   mediaType = 'text/plain'
   /** Bytes that each answer which isn't a stream is filled up to. */
@@ -134,7 +138,7 @@
     }
     this.arrivals.push(performance.now())
     if (this.mode === 'full') {
-      res.writeHead(503, { 'attempt-id': id, 'not-executed': '1' }).end()
+      res.writeHead(503, { 'attempt-id': id, 'not-executed': '1', ...this.retryAfter === undefined ? {} : { 'retry-after': this.retryAfter } }).end()
       return
     }
     if (this.#isFatal(req)) this.#options.onFatalRequest?.()
@@ -154,6 +158,7 @@
       return
     }
     const headers = { 'attempt-id': this.mode === 'confused' ? 'another' : id, 'server-signature': `${this.#id}.${id}`, 'server-load': `${this.#running},0,8` }
+    if (this.leaving) res.setHeader('server-leaving', '1')
     if (this.requestsPerSec !== undefined) res.setHeader('server-limit', String(this.requestsPerSec))
     if (this.mode.startsWith('unframed')) res.useChunkedEncodingByDefault = false
     if (this.mode === 'endless chunks') this.#writeSmallChunks(req.socket, headers)
