Bound the memory that the bodies of all requests take together

Cause: each body has a bound, all together had none. Change: a gateway has a quarter of its memory limit for bodies of callers, as each is held up to twice while it is joined. A body with a length is reserved as a whole before it is read, one in chunks as it comes; what doesn't fit is refused as not run (503 memory_full), with a time to come back. Open: all answers together, parts of accounts, the own interface.

--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -5,6 +5,7 @@
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { routeError, type RouteError } from '../common/Errors.js'
 import { hashString } from '../common/Hash.js'
+import { ByteBudget, type IByteReservation } from '../common/limits/ByteBudget.js'
 import { acceptsWhileDraining, type DrainWindow } from '../common/routing/DrainWindow.js'
 import { promptKey } from '../common/routing/PromptPlacement.js'
 import type { RouteTable } from '../common/routing/RouteTable.js'
@@ -43,13 +44,16 @@
   readonly #services: CallerServerServices
   readonly #server: Server
   readonly #connections: CallerConnections
+  readonly #bodyBudget: ByteBudget
   #active = 0
   #drainWindow: DrainWindow | undefined
   /** For each body that is being read, rejects its request when it is too late in a drain. */
   readonly #bodyReads = new Set<() => void>()
 
-  constructor (services: CallerServerServices) {
+  /** @param maxBodyBytes bytes that the bodies of all requests may take together. */
+  constructor (services: CallerServerServices, maxBodyBytes: number) {
     super()
+    this.#bodyBudget = new ByteBudget(maxBodyBytes)
     this.#services = services
     this.#connections = new CallerConnections(services.systemLog)
     this.#server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0 })
@@ -117,7 +121,9 @@
       return
     }
     const { request, route, account, table } = admitted.value
-    const body = await this.#readBody(req, table.config.limits.maxBodyBytes)
+    const reservation = this.#bodyBudget.begin()
+    res.once('close', () => reservation.release())
+    const body = await this.#readBody(req, table.config.limits.maxBodyBytes, reservation)
     if (body.isErr()) {
       this.#sendError(response, request, body.error)
       return
@@ -129,14 +135,14 @@
   }
 
   /** Reads a body. When it comes too late in a drain, the request is rejected, as nothing of it has been sent yet. */
-  async #readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
+  async #readBody (req: IncomingMessage, maxBytes: number, reservation: IByteReservation): Promise<Result<Uint8Array, RouteError>> {
     return await new Promise((resolve, reject) => {
       const rejectLate = (): void => {
         const late = this.#lateError()
         if (late !== undefined) resolve(err(late))
       }
       this.#bodyReads.add(rejectLate)
-      readBody(req, maxBytes).then(body => {
+      readBody(req, maxBytes, reservation).then(body => {
         this.#bodyReads.delete(rejectLate)
         rejectLate()
         resolve(body)
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -30,6 +30,7 @@
 const MIN_DRAIN_MS = 4_000
 const STOP_MARGIN_MS = 450 // left before the platform kills the process
 const LINGER_MS = 150 // of that margin, for callers to read their last answers
+const BODY_MEMORY_FRACTION = 0.25 // of the memory for bodies of callers; each is held up to twice while it is joined
 const MIN_PEERS = 4 // a gateway that has just started has discovered few of its peers
 
 /** An address to listen on. */
@@ -61,6 +62,8 @@
   readonly retryWindowMs: number
   /** True when the whole fleet starts for the first time. */
   readonly isFirstStart: boolean
+  /** Memory that the process may take. */
+  readonly memoryBytes: number
 }
 
 export class Gateway extends Disposable {
@@ -121,7 +124,7 @@
       log: new RequestLog(log, clock),
       retryBudget: (service: string) => this.#retryBudget(service)
     }
-    this.#callerServer = this.own(new CallerServer(services))
+    this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
     this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
--- a/src/platform/Platform.test.ts
+++ b/src/platform/Platform.test.ts
@@ -273,6 +273,7 @@
           "graceMs": 9000,
           "id": "edge-1",
           "isFirstStart": false,
+          "memoryBytes": 268435456,
           "metrics": {
             "address": "10.1.0.40",
             "port": 9464,
--- a/src/platform/Settings.ts
+++ b/src/platform/Settings.ts
@@ -27,6 +27,8 @@
 const DEFAULT_RETRY_RATIO = 0.2
 const DEFAULT_RETRY_WINDOW_SEC = 10
 const DEFAULT_RETRY_BURST = 20
+const DEFAULT_MEMORY_MB = 256
+const BYTES_PER_MB = 1_048_576
 
 /** Fields that are read; the platform may add others. */
 interface SettingsFile {
@@ -40,6 +42,7 @@
   readonly listen: { readonly frontend: string, readonly readiness: string }
   readonly platform: { readonly address: string }
   readonly bootstrap?: boolean
+  readonly limits?: { readonly memory_mb?: number }
   readonly bounds?: Readonly<Record<string, number | boolean | undefined>>
 }
 
@@ -85,7 +88,8 @@
     retryRatio: boundOrDefault(file, 'retry_budget_ratio', DEFAULT_RETRY_RATIO),
     retryBurst: boundOrDefault(file, 'retry_burst', DEFAULT_RETRY_BURST),
     retryWindowMs: boundOrDefault(file, 'budget_window_s', DEFAULT_RETRY_WINDOW_SEC) * 1_000,
-    isFirstStart: file.bootstrap === true
+    isFirstStart: file.bootstrap === true,
+    memoryBytes: (file.limits?.memory_mb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB
   }
   return ok({ gateway, store: parseAddress(file.platform.address), drainMs: boundOrDefault(file, 'drain_ms', DEFAULT_DRAIN_MS) })
 }
--- a/src/router/callers/RequestBody.ts
+++ b/src/router/callers/RequestBody.ts
@@ -3,16 +3,25 @@
 import { err, ok, type Result } from 'neverthrow'
 import { ByteBuffer } from '../../common/http/ByteBuffer.js'
 import { routeError, type RouteError } from '../../common/Errors.js'
+import type { IByteReservation } from '../../common/limits/ByteBudget.js'
 
-/** Reads a body. One that exceeds `maxBytes` is an error, and the rest of it is discarded; an incomplete one is an error as well. */
-export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RouteError>> {
-  if (Number(req.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge(maxBytes))
+const RETRY_AFTER_MS = 300
+
+/**
+ * Reads a body. One that exceeds `maxBytes` is an error, and the rest of it is discarded; an incomplete one is an error as well.
+ * @param reservation from which the bytes are taken: all of them before the first is read, when there is a length.
+ */
+export async function readBody (req: IncomingMessage, maxBytes: number, reservation?: IByteReservation): Promise<Result<Uint8Array, RouteError>> {
+  const length = Number(req.headers['content-length'] ?? 0)
+  if (length > maxBytes) return err(tooLarge(maxBytes))
+  if (length > 0 && reservation?.grow(length) === false) return err(memoryFull())
   return await new Promise(resolve => {
     const body = new ByteBuffer(maxBytes)
     const onData = (piece: Buffer): void => {
-      if (body.push(piece)) return
+      const fits = length > 0 || reservation?.grow(piece.length) !== false
+      if (fits && body.push(piece)) return
       req.off('data', onData).resume() // its connection is closed a moment after the answer
-      resolve(err(tooLarge(maxBytes)))
+      resolve(err(fits ? tooLarge(maxBytes) : memoryFull()))
     }
     req.on('data', onData)
     req.on('end', () => resolve(ok(body.take())))
@@ -21,6 +30,10 @@
   })
 }
 
+function memoryFull (): RouteError {
+  return routeError('memory_full', 'accept', 'caller', '', RETRY_AFTER_MS)
+}
+
 function tooLarge (maxBytes: number): RouteError {
   return routeError('body_too_large', 'accept', 'caller', `At most ${maxBytes} bytes are taken.`)
 }
