--- a/src/platform/BodyMemory.test.ts
+++ b/src/platform/BodyMemory.test.ts
@@ -1,10 +1,7 @@
 /** End-to-end tests on loopback of many uploads at once. */
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, sleep, startSite, waitUntil, type TestSite } from './TestUtils.test.js'
 
 const MEMORY_BYTES = 4_000_000
 const BODY_BYTES = 300_000
@@ -13,9 +10,7 @@
 const SETTLE_MS = 200
 const LIMITS = { max_header_bytes: 4_000, max_body_bytes: 400_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
 
-let store: PlatformStore
-let worker: PlatformWorker
-let gateway: RunningGateway
+let site: TestSite
 const sockets: Socket[] = []
 
 /** An upload that waits before its last byte. */
@@ -31,7 +26,7 @@
     ? [`Content-Length: ${BODY_BYTES}`, 'x'.repeat(BODY_BYTES - 1), 'x']
     : ['Transfer-Encoding: chunked', chunkOf(BODY_BYTES - 1), `${chunkOf(1)}0\r\n\r\n`]
   let text = ''
-  const socket = connect(gateway.port, '127.0.0.1')
+  const socket = connect(site.port, '127.0.0.1')
   sockets.push(socket)
   socket.on('error', () => {})
   socket.on('data', chunk => { text += String(chunk) })
@@ -40,21 +35,12 @@
 }
 
 beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  worker = new PlatformWorker('w1')
-  await worker.listen()
-  store.put('servers/w1', worker.storeEntry('pool'))
-  store.put('op/config', { ...createConfig(7), limits: LIMITS })
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {}, { memoryBytes: MEMORY_BYTES })
-  await waitUntil(() => gateway.gateway.ready)
+  site = await startSite({ workers: 1, config: { ...createConfig(7), limits: LIMITS }, settings: { memoryBytes: MEMORY_BYTES } })
 })
 
 afterEach(() => {
   sockets.splice(0).forEach(socket => socket.destroy())
-  gateway.stop()
-  worker.close()
-  store.close()
+  site.stop()
 })
 
 // Each body was within its limit, and 45 of them at once took a process over its memory.
@@ -66,7 +52,7 @@
     const accepted = uploads.filter(u => u.status() === '')
     accepted.forEach(u => u.finish())
     await waitUntil(() => accepted.every(u => u.status() === '200'))
-    expect([accepted.length, worker.executedIds.length]).toEqual([FITTING, FITTING])
-    expect((await call(gateway.port, '/write/1', {}, 'x'.repeat(BODY_BYTES))).status).toBe(200)
+    expect([accepted.length, site.workers[0]!.executedIds.length]).toEqual([FITTING, FITTING])
+    expect((await call(site.port, '/write/1', {}, 'x'.repeat(BODY_BYTES))).status).toBe(200)
   })
 })
--- a/src/platform/EarlyAnswer.test.ts
+++ b/src/platform/EarlyAnswer.test.ts
@@ -1,10 +1,7 @@
 /** End-to-end tests on loopback of answers that are sent while the request's body is still on its way. */
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+import { sleep, startSite, type TestSite } from './TestUtils.test.js'
 
 const GRACE_MS = 2_000
 const ACCEPT_MS = GRACE_MS / 2
@@ -14,16 +11,14 @@
 const CHUNK_INTERVAL_MS = 5
 const CHUNKS = 40
 
-let store: PlatformStore
-let worker: PlatformWorker
-let gateway: RunningGateway
+let site: TestSite
 const sockets: Socket[] = []
 
 const head = (length: string): string => `POST /write/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer k1\r\n${length}\r\n\r\n`
 
 /** A caller's connection that reads only once it has sent everything, as many callers do. */
 async function connectCaller (): Promise<{ readonly socket: Socket, readonly read: () => Promise<string> }> {
-  const socket = connect(gateway.port, '127.0.0.1').pause()
+  const socket = connect(site.port, '127.0.0.1').pause()
   sockets.push(socket)
   let failure = ''
   socket.on('error', e => { failure = ` ${(e as NodeJS.ErrnoException).code ?? ''}` })
@@ -40,21 +35,12 @@
 }
 
 beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  worker = new PlatformWorker('w1')
-  await worker.listen()
-  store.put('servers/w1', worker.storeEntry('pool'))
-  store.put('op/config', createConfig(7))
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {}, { graceMs: GRACE_MS })
-  await waitUntil(() => gateway.gateway.ready)
+  site = await startSite({ workers: 1, settings: { graceMs: GRACE_MS } })
 })
 
 afterEach(() => {
   sockets.splice(0).forEach(socket => socket.destroy())
-  gateway.stop()
-  worker.close()
-  store.close()
+  site.stop()
 })
 
 // The connection was closed at once after an early answer; the rest of the body turned that into a reset, which destroyed the answer.
@@ -74,7 +60,7 @@
 
   it('reaches a caller that goes on sending chunks to a gateway which stops', async () => {
     const callers = await Promise.all(Array.from({ length: UPLOADS }, connectCaller))
-    const stopped = gateway.gateway.stop()
+    const stopped = site.gateway.stop()
     await sleep(ACCEPT_MS + 50)
     const answers = await Promise.all(callers.map(async ({ socket, read }) => {
       socket.write(head('Transfer-Encoding: chunked'))
@@ -87,7 +73,7 @@
     }))
     await stopped
     expect(answers).toEqual(Array(UPLOADS).fill('HTTP/1.1 503'))
-    expect(worker.executedIds).toEqual([])
+    expect(site.workers[0]!.executedIds).toEqual([])
   })
 
   it('reaches a caller whose body doesn\'t come to its end before the gateway\'s', async () => {
@@ -95,7 +81,7 @@
     socket.write(head('Transfer-Encoding: chunked') + CHUNK.slice(0, 100))
     await sleep(50)
     const answer = read()
-    await gateway.gateway.stop()
-    expect([await answer, worker.executedIds]).toEqual(['HTTP/1.1 503', []])
+    await site.gateway.stop()
+    expect([await answer, site.workers[0]!.executedIds]).toEqual(['HTTP/1.1 503', []])
   })
 })
--- a/src/platform/EndlessBytes.test.ts
+++ b/src/platform/EndlessBytes.test.ts
@@ -3,10 +3,8 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+import { call, createConfig, sleep, startSite, waitUntil, withTimeouts, type TestSite } from './TestUtils.test.js'
 
 const MB = 1_048_576
 const SETTLE_MS = 200
@@ -32,9 +30,8 @@
 }
 const HEADERS = 'Host: a.example\r\nAttempt-Id: r1\r\nDeadline-Ms: 60000\r\nAuthorization: Bearer k1\r\n'
 
-let store: PlatformStore
-let workers: PlatformWorker[]
-let gateway: RunningGateway
+let site: TestSite
+let workers: readonly PlatformWorker[]
 const sockets: Socket[] = []
 
 setFlagsFromString('--expose_gc')
@@ -49,7 +46,7 @@
 
 /** Opens a caller's connection that doesn't read, and writes to it. */
 function open (text: string): Socket {
-  const socket = connect(gateway.port, '127.0.0.1', () => socket.write(text))
+  const socket = connect(site.port, '127.0.0.1', () => socket.write(text))
   socket.pause().on('error', () => {})
   sockets.push(socket)
   return socket
@@ -61,22 +58,14 @@
 }
 
 beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  workers = ['w1', 'w2'].map(id => new PlatformWorker(id))
-  for (const w of workers) await w.listen()
-  workers.forEach((w, i) => store.put(`servers/w${i + 1}`, w.storeEntry('pool')))
-  const config = createConfig(7) as { readonly routes: ReadonlyArray<Readonly<Record<string, unknown>>> }
-  store.put('op/config', { ...config, routes: config.routes.map(route => ({ ...route, timeout_ms: UPLOAD_TIMEOUT_MS })), limits: { max_header_bytes: 4_000, max_body_bytes: 4 * MB, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 } })
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {})
-  await waitUntil(() => gateway.gateway.ready)
+  const limits = { max_header_bytes: 4_000, max_body_bytes: 4 * MB, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 }
+  site = await startSite({ config: { ...withTimeouts(UPLOAD_TIMEOUT_MS), limits } })
+  workers = site.workers
 })
 
 afterEach(() => {
   sockets.splice(0).forEach(socket => socket.destroy())
-  gateway.stop()
-  workers.forEach(w => w.close())
-  store.close()
+  site.stop()
 })
 
 describe('bodies in small pieces', () => {
@@ -90,7 +79,7 @@
     await settled(sent)
     expect(usedBytes() - before).toBeLessThan(REQUESTS * 3 * MB)
     workers.forEach(w => { w.mode = 'well' })
-    expect((await call(gateway.port, '/read/1')).status).toBe(200)
+    expect((await call(site.port, '/read/1')).status).toBe(200)
   })
 
   // Whatever a faulty endpoint sends without end, in a head or in a body, must end that attempt and nothing else.
@@ -109,23 +98,23 @@
       })
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    store.put('servers/w3', new PlatformWorker('w3').storeEntry('odd', 'ready', (server.address() as AddressInfo).port))
+    site.store.put('servers/w3', new PlatformWorker('w3').storeEntry('odd', 'ready', (server.address() as AddressInfo).port))
     const common = { host: 'a.example', service: 'odd', timeout_ms: 1_000, latency_goal_ms: 500, priority: 1, max_attempts: 1 }
-    store.put('op/config', createConfig(8, [
+    site.store.put('op/config', createConfig(8, [
       { ...common, name: 'odd', path_prefix: '/odd/', route_kind: 'non_idempotent' }, { ...common, name: 'odd-stream', path_prefix: '/odd/stream/', route_kind: 'streaming' }
     ]))
-    await waitUntil(() => gateway.gateway.configRevision === 8)
-    await settled(() => gateway.gateway.configRevision)
+    await waitUntil(() => site.gateway.configRevision === 8)
+    await settled(() => site.gateway.configRevision)
     const before = usedBytes()
     for (const [name, value] of Object.entries(ENDLESS)) {
       shape = value
-      const answers = await Promise.all(['/odd/1', '/odd/stream/1'].map(async path => await call(gateway.port, path, { 'attempt-id': 'r1' }).catch(() => undefined)))
+      const answers = await Promise.all(['/odd/1', '/odd/stream/1'].map(async path => await call(site.port, path, { 'attempt-id': 'r1' }).catch(() => undefined)))
       const failed = answers.map(answer => answer === undefined || answer.status >= 502 || !answer.complete)
       expect([name, ...failed]).toEqual([name, true, true])
       for (let n = 0; usedBytes() - before > 4 * MB && n < MAX_SETTLES; n++) await sleep(SETTLE_MS) // V8 frees buffers beside the collection
       expect([name, usedBytes() - before < 4 * MB]).toEqual([name, true])
     }
-    expect((await call(gateway.port, '/read/1', { 'attempt-id': 'r2' })).body).toBe('answer to r2: hello')
+    expect((await call(site.port, '/read/1', { 'attempt-id': 'r2' })).body).toBe('answer to r2: hello')
     server.close()
   })
 
--- a/src/platform/EndpointWord.test.ts
+++ b/src/platform/EndpointWord.test.ts
@@ -1,54 +1,43 @@
 /** End-to-end tests on loopback of endpoints that say in their answers that they are leaving, or want a pause. */
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { call, createConfig, sleep, startGateway, waitUntil, type CallResult, type LogLine, type RunningGateway } from './TestUtils.test.js'
+import type { PlatformWorker } from '../standin/PlatformWorker.js'
+import { call, sleep, startSite, type CallResult, type LogLine, type TestSite } from './TestUtils.test.js'
 
 const PAUSE_MS = 1_500
 const REQUESTS = 40
 const MAX_ARRIVALS = 2 // in a pause, by the platform's rule
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 
-let store: PlatformStore
-let workers: PlatformWorker[]
-let gateway: RunningGateway
+let site: TestSite
+let workers: readonly PlatformWorker[]
 const logLines: LogLine[] = []
 
 const sendMany = async (path: string, more: Readonly<Record<string, string>> = {}): Promise<CallResult[]> =>
   await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => {
     await sleep(i * 10)
-    return await call(gateway.port, path, more)
+    return await call(site.port, path, more)
   }))
 
 /** Sends requests until this worker has had one. */
 async function reach (worker: PlatformWorker, path: string, more: Readonly<Record<string, string>> = {}): Promise<void> {
   const before = worker.arrivals.length
-  while (worker.arrivals.length === before) await call(gateway.port, path, more)
+  while (worker.arrivals.length === before) await call(site.port, path, more)
 }
 
 beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  workers = ['w1', 'w2'].map(id => new PlatformWorker(id))
-  for (const w of workers) await w.listen()
-  workers.forEach((w, i) => store.put(`servers/w${i + 1}`, w.storeEntry('pool')))
-  store.put('op/config', createConfig(7))
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], line => { logLines.push(line) })
-  await waitUntil(() => gateway.gateway.ready)
+  site = await startSite({ onLog: line => { logLines.push(line) } })
+  workers = site.workers
 })
 
 afterEach(() => {
   logLines.length = 0
-  gateway.stop()
-  workers.forEach(w => w.close())
-  store.close()
+  site.stop()
 })
 
 // The headers weren't decoded: an endpoint that left got requests for as long as the list named it.
 describe('an endpoint that says that it is leaving', () => {
   it.each([['calls', '/read/1', {}], ['streams of a session', '/stream/1', PROMPT]] as const)('gets no new requests, though the list says that it is ready: %s', async (_, path, more) => {
-    await call(gateway.port, path, more)
+    await call(site.port, path, more)
     const [leaving] = workers.filter(w => w.arrivals.length > 0)
     leaving!.leaving = true
     await reach(leaving!, path, more)
@@ -62,7 +51,7 @@
     workers[0]!.leaving = true
     await reach(workers[0]!, '/read/1')
     workers[0]!.leaving = false
-    store.put('servers/w1', { ...workers[0]!.storeEntry('pool'), born: 1_700_000_000_000 })
+    site.store.put('servers/w1', { ...workers[0]!.storeEntry('pool'), born: 1_700_000_000_000 })
     await reach(workers[0]!, '/read/1')
   })
 })
--- a/src/platform/PlannedStop.test.ts
+++ b/src/platform/PlannedStop.test.ts
@@ -2,14 +2,13 @@
 import { Agent, request, type IncomingMessage } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+import type { PlatformWorker } from '../standin/PlatformWorker.js'
+import { sleep, startSite, waitUntil, withTimeouts, type TestSite } from './TestUtils.test.js'
 
 const GRACE_MS = 3_000
 const ACCEPT_MS = GRACE_MS / 2
 const EVENT_INTERVAL_MS = 600 // four events, so that a stream takes longer than requests are accepted
+const TIMEOUT_MS = 9_000
 const CALLERS = 40
 const BODY_MS = 5
 const THINK_MS = 60
@@ -19,9 +18,8 @@
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 const HEADERS = { host: 'a.example', 'deadline-ms': '9000', authorization: 'Bearer k1' }
 
-let store: PlatformStore
+let site: TestSite
 let worker: PlatformWorker
-let gateway: RunningGateway
 let agent: Agent
 const sockets: Socket[] = []
 
@@ -41,7 +39,7 @@
 /** Sends a request on the one connection of `agent`. */
 async function send (path: string, id: string, more: Readonly<Record<string, string>> = {}): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    const req = request({ agent, port: gateway.port, host: '127.0.0.1', method: 'POST', path, headers: { ...HEADERS, 'attempt-id': id, ...more } }, res => {
+    const req = request({ agent, port: site.port, host: '127.0.0.1', method: 'POST', path, headers: { ...HEADERS, 'attempt-id': id, ...more } }, res => {
       readAnswer(res).then(resolve, reject)
     })
     req.on('error', reject)
@@ -58,7 +56,7 @@
 function beginUpload (id: string): { readonly socket: Socket, readonly text: () => string, readonly ended: Promise<void> } {
   let text = ''
   const headers = Object.entries({ ...HEADERS, 'attempt-id': id, 'transfer-encoding': 'chunked' }).map(header => header.join(': '))
-  const socket = connect(gateway.port, '127.0.0.1', () => socket.write(`POST /write/1 HTTP/1.1\r\n${headers.join('\r\n')}\r\n\r\n5\r\nhello\r\n`))
+  const socket = connect(site.port, '127.0.0.1', () => socket.write(`POST /write/1 HTTP/1.1\r\n${headers.join('\r\n')}\r\n\r\n5\r\nhello\r\n`))
   sockets.push(socket)
   socket.on('data', chunk => { text += String(chunk) })
   socket.on('error', () => { text += ' RESET' })
@@ -77,7 +75,7 @@
 /** Sends a call whose body comes in two chunks. */
 async function callOnce (id: string, own: Agent | false): Promise<Call> {
   return await new Promise(resolve => {
-    const req = request({ agent: own, port: gateway.port, host: '127.0.0.1', method: 'POST', path: '/write/1', headers: { ...HEADERS, 'attempt-id': id } })
+    const req = request({ agent: own, port: site.port, host: '127.0.0.1', method: 'POST', path: '/write/1', headers: { ...HEADERS, 'attempt-id': id } })
     let sentAt = performance.now()
     const finish = (end: Call['end'], reason: string): void => resolve({ id, end, reason, afterMs: performance.now() - sentAt })
     req.on('response', res => {
@@ -95,7 +93,7 @@
 /** Opens a connection; returns a function that sends a request on it and resolves with its status line, or the error. */
 async function openAndWait (id: string): Promise<() => Promise<string>> {
   const headers = Object.entries({ ...HEADERS, 'attempt-id': id, 'content-length': '0' }).map(header => header.join(': '))
-  const socket = connect(gateway.port, '127.0.0.1')
+  const socket = connect(site.port, '127.0.0.1')
   sockets.push(socket)
   await new Promise<void>(resolve => { socket.once('connect', () => resolve()) })
   return async () => await new Promise(resolve => {
@@ -111,31 +109,22 @@
 /** True while the gateway accepts connections. */
 async function isListening (): Promise<boolean> {
   return await new Promise(resolve => {
-    const socket = connect(gateway.port, '127.0.0.1', () => resolve(true))
+    const socket = connect(site.port, '127.0.0.1', () => resolve(true))
     socket.on('connect', () => socket.destroy())
     socket.on('error', () => resolve(false))
   })
 }
 
 beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  worker = new PlatformWorker('w1', { eventIntervalMs: EVENT_INTERVAL_MS })
-  await worker.listen()
-  store.put('servers/w1', worker.storeEntry('pool'))
-  const config = createConfig(7) as { readonly routes: ReadonlyArray<Readonly<Record<string, unknown>>> }
-  store.put('op/config', { ...config, routes: config.routes.map(route => ({ ...route, timeout_ms: 9_000 })) })
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {}, { graceMs: GRACE_MS })
+  site = await startSite({ workers: 1, workerOptions: { eventIntervalMs: EVENT_INTERVAL_MS }, config: withTimeouts(TIMEOUT_MS), settings: { graceMs: GRACE_MS } })
+  worker = site.workers[0]!
   agent = new Agent({ keepAlive: true, maxSockets: 1 })
-  await waitUntil(() => gateway.gateway.ready)
 })
 
 afterEach(() => {
   agent.destroy()
   sockets.splice(0).forEach(socket => socket.destroy())
-  gateway.stop()
-  worker.close()
-  store.close()
+  site.stop()
 })
 
 describe('a gateway that stops', () => {
@@ -143,7 +132,7 @@
   it('refuses a request as not run that comes on a kept connection after the load balancer has left, and ends the answer before it', async () => {
     const first = send('/stream/1', 'r1', PROMPT)
     await waitUntil(() => worker.executedIds.length > 0)
-    const stopped = gateway.gateway.stop()
+    const stopped = site.gateway.stop()
     const { status, body } = await first
     const second = await sendAgain('/stream/1', 'r2', PROMPT)
     await stopped
@@ -152,7 +141,7 @@
   })
 
   it('serves requests while the load balancer may still send them, and asks for another connection', async () => {
-    const stopped = gateway.gateway.stop()
+    const stopped = site.gateway.stop()
     await sleep(ACCEPT_MS / 2)
     const answer = await send('/write/1', 'r1')
     await stopped
@@ -163,7 +152,7 @@
   it('refuses a request as not run whose body is read only after that', async () => {
     const upload = beginUpload('r1')
     await sleep(50)
-    const stopped = gateway.gateway.stop()
+    const stopped = site.gateway.stop()
     await sleep(ACCEPT_MS + 100)
     upload.socket.write('0\r\n\r\n')
     await upload.ended
@@ -174,7 +163,7 @@
   // Listener and connections were destroyed in one step: what had just been sent on a connection that was open was reset without an answer.
   it('answers what comes on open connections when it takes no more new ones', async () => {
     const waiting = await Promise.all(Array.from({ length: CALLERS }, async (_, i) => await openAndWait(`w${i}`)))
-    const stopped = gateway.gateway.stop()
+    const stopped = site.gateway.stop()
     while (await isListening()) await sleep(PROBE_MS)
     const answers = await Promise.all(waiting.map(async sendNow => await sendNow()))
     await stopped
@@ -194,7 +183,7 @@
       }
     })
     await sleep(300)
-    await gateway.gateway.stop()
+    await site.gateway.stop()
     load.stopped = true
     await Promise.all(callers)
     agents.forEach(own => own.destroy())
--- a/src/platform/TestUtils.test.ts
+++ b/src/platform/TestUtils.test.ts
@@ -6,7 +6,8 @@
 import { Gateway, type GatewaySettings } from '../gateway/Gateway.js'
 import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
 import { SystemClock } from '../router/telemetry/Clock.js'
-import type { PlatformWorker, WorkerMode } from '../standin/PlatformWorker.js'
+import { PlatformStore } from '../standin/PlatformStore.js'
+import { PlatformWorker, type WorkerMode, type WorkerOptions } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
 import { RequestCodec } from './RequestCodec.js'
 import { StoreClient } from './StoreClient.js'
@@ -86,6 +87,48 @@
   return { gateway, port, stop }
 }
 
+/** A store, workers of the service `pool` and one gateway that is ready. */
+export interface TestSite extends RunningGateway {
+  readonly store: PlatformStore
+  readonly workers: readonly PlatformWorker[]
+}
+
+/** What differs from a site of two workers with the usual configuration and settings. */
+export interface SiteOptions {
+  readonly workers?: number
+  readonly workerOptions?: WorkerOptions
+  readonly config?: object
+  readonly settings?: Partial<GatewaySettings>
+  readonly onLog?: (line: LogLine) => void
+}
+
+/** Starts a site; its `stop` stops all parts. */
+export async function startSite (options: SiteOptions = {}): Promise<TestSite> {
+  const { workers: count = 2, workerOptions = {}, config = createConfig(7), settings = {}, onLog = () => {} } = options
+  const store = new PlatformStore()
+  const storePort = await store.listen()
+  const workers = Array.from({ length: count }, (_, i) => new PlatformWorker(`w${i + 1}`, workerOptions))
+  for (const [i, worker] of workers.entries()) {
+    await worker.listen()
+    store.put(`servers/w${i + 1}`, worker.storeEntry('pool'))
+  }
+  store.put('op/config', config)
+  const running = await startGateway(storePort, '127.0.0.1', await freePort(), [], onLog, settings)
+  await waitUntil(() => running.gateway.ready)
+  const stop = (): void => {
+    running.stop()
+    workers.forEach(worker => worker.close())
+    store.close()
+  }
+  return { ...running, store, workers, stop }
+}
+
+/** The usual configuration with other timeouts on all routes. */
+export function withTimeouts (timeoutMs: number): object {
+  const config = createConfig(7) as { readonly routes: readonly object[] }
+  return { ...config, routes: config.routes.map(route => ({ ...route, timeout_ms: timeoutMs })) }
+}
+
 /** Sends one request and reads its response. */
 export async function call (port: number, path: string, more: Readonly<Record<string, string>> = {}, body = 'hello'): Promise<CallResult> {
   const headers = { host: 'a.example', 'attempt-id': `r${Math.random()}`, 'deadline-ms': '3000', authorization: 'Bearer k1', ...more }
--- a/src/platform/UnreadRequest.test.ts
+++ b/src/platform/UnreadRequest.test.ts
@@ -1,10 +1,8 @@
 /** End-to-end tests on loopback of errors that promise "not run" before a request was read. */
 import { connect, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import { PlatformStore } from '../standin/PlatformStore.js'
-import { PlatformWorker } from '../standin/PlatformWorker.js'
-import { freePort } from '../tools/FreePort.js'
-import { createConfig, sleep, startGateway, waitUntil, type RunningGateway } from './TestUtils.test.js'
+import type { PlatformWorker } from '../standin/PlatformWorker.js'
+import { sleep, startSite, waitUntil, withTimeouts, type TestSite } from './TestUtils.test.js'
 
 const HEADER_TIMEOUT_MS = 200
 const TIMEOUT_CHECK_MS = 1_000
@@ -12,9 +10,8 @@
 const SETTLE_MS = 100
 const LIMITS = { max_header_bytes: 4_000, max_body_bytes: 1_000, header_timeout_ms: HEADER_TIMEOUT_MS, idle_timeout_ms: 15_000 }
 
-let store: PlatformStore
+let site: TestSite
 let worker: PlatformWorker
-let gateway: RunningGateway
 const sockets: Socket[] = []
 
 const requestText = (id: string): string => `POST /write/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 9000\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n`
@@ -22,7 +19,7 @@
 /** Opens a caller's connection; `received` is what has come on it so far, undefined at its end. */
 async function open (): Promise<{ readonly socket: Socket, readonly text: () => string, readonly ended: Promise<void> }> {
   let text = ''
-  const socket = connect(gateway.port, '127.0.0.1')
+  const socket = connect(site.port, '127.0.0.1')
   socket.on('error', () => {})
   socket.on('data', chunk => { text += String(chunk) })
   sockets.push(socket)
@@ -41,30 +38,19 @@
   while (performance.now() < end) { /* busy */ }
 }
 
-async function startWorker (workMs: number): Promise<void> {
-  worker = new PlatformWorker('w1', { workMs })
-  await worker.listen()
-  store.put('servers/w1', worker.storeEntry('pool'))
+const start = (workMs: number) => async (): Promise<void> => {
+  site = await startSite({ workers: 1, workerOptions: { workMs }, config: { ...withTimeouts(2 * WORK_MS), limits: LIMITS } })
+  worker = site.workers[0]!
 }
 
-beforeEach(async () => {
-  store = new PlatformStore()
-  const storePort = await store.listen()
-  await startWorker(0)
-  const config = createConfig(7) as { readonly routes: ReadonlyArray<Readonly<Record<string, unknown>>> }
-  store.put('op/config', { ...config, routes: config.routes.map(route => ({ ...route, timeout_ms: 2 * WORK_MS })), limits: LIMITS })
-  gateway = await startGateway(storePort, '127.0.0.1', await freePort(), [], () => {})
-  await waitUntil(() => gateway.gateway.ready)
-})
-
 afterEach(() => {
   sockets.splice(0).forEach(socket => socket.destroy())
-  gateway.stop()
-  worker.close()
-  store.close()
+  site.stop()
 })
 
 describe('a request that can\'t be read in time', () => {
+  beforeEach(start(0))
+
   // After a freeze the timeout was due before the request was read that had come meanwhile: it was answered 408, and ran.
   it('runs, and isn\'t answered 408, when only this process stood still', async () => {
     const { socket, text } = await open()
@@ -89,12 +75,7 @@
 
 // An error about what follows on a connection was sent as the answer to the request before, which ran.
 describe('a request that is running when the next one on its connection can\'t be read', () => {
-  beforeEach(async () => {
-    worker.close()
-    store.delete('servers/w1')
-    await startWorker(WORK_MS)
-    await sleep(2 * TIMEOUT_CHECK_MS)
-  })
+  beforeEach(start(WORK_MS))
 
   for (const [what, next] of [['doesn\'t come in time', 'POST /write/2 HT'], ['is malformed', 'no HTTP\r\n\r\n']] as const) {
     it(`gets its own answer when the next ${what}`, async () => {
@@ -109,6 +90,8 @@
 })
 
 describe('a request whose body is malformed', () => {
+  beforeEach(start(0))
+
   it('is answered 400 and doesn\'t run', async () => {
     const { socket, text, ended } = await open()
     socket.write(`${requestText('r1').replace('Content-Length: 0', 'Transfer-Encoding: chunked')}4\r\nabcd\r\nxyz`)
