--- a/src/platform/PlannedStop.test.ts
+++ b/src/platform/PlannedStop.test.ts
@@ -116,7 +116,8 @@
 }
 
 beforeEach(async () => {
-  site = await startSite({ workers: 1, workerOptions: { eventIntervalMs: EVENT_INTERVAL_MS }, config: withTimeouts(TIMEOUT_MS), settings: { graceMs: GRACE_MS } })
+  const workerOptions = { eventIntervalMs: EVENT_INTERVAL_MS }
+  site = await startSite({ workers: 1, workerOptions, config: withTimeouts(TIMEOUT_MS), settings: { graceMs: GRACE_MS } })
   worker = site.workers[0]!
   agent = new Agent({ keepAlive: true, maxSockets: 1 })
 })
