Wait until both endpoints of a test have asked for a pause

Seen: with pauses of 40 s the test of the commit before ran into its timeout, each time that the second endpoint had been asked first: it waited for another request there, in the pause.

--- a/src/platform/EndpointWord.test.ts
+++ b/src/platform/EndpointWord.test.ts
@@ -77,8 +77,7 @@
       w.mode = 'full'
       w.retryAfter = String((i + 1) * LONG_PAUSE_SEC)
     })
-    await reach(workers[0]!, '/write/1')
-    await reach(workers[1]!, '/write/1')
+    while (workers.some(w => w.arrivals.length === 0)) await call(site.port, '/write/1')
     const before = workers.reduce((sum, w) => sum + w.arrivals.length, 0)
     const answers = await sendMany('/write/1')
     expect(workers.reduce((sum, w) => sum + w.arrivals.length, 0) - before).toBeLessThanOrEqual(MAX_ARRIVALS)
