Take no part of an answer for the whole one while the request is being written

Report: an endpoint answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was still being written; the caller got that part as complete.

Ruled out by tests: a reset at once, a reset after a moment, and a close that leaves the request unread are reported as broken for streams and calls, with parts of one event up to 3 MB, with a length and in chunks. So are they in the product's own interface, where no answer without length or chunks counts as whole.

Cause: an endpoint that first ends its side normally and closes its connection a moment later gives the end of the answer before the reset.

Change: a successful answer whose connection ends before the request was written to the socket is broken off, as the endpoint can't have read the request. An error without a length that comes early is still passed on: that is how servers refuse uploads.

Not covered: a request that fits into the buffers of its connection counts as written.

--- a/src/gateway/EndpointExchange.test.ts
+++ b/src/gateway/EndpointExchange.test.ts
@@ -26,16 +26,16 @@
   return (server.address() as AddressInfo).port
 }
 
-async function exchange (agent: EndpointAgent, port: number, headers = ['Host', 'a']): Promise<Outcome> {
+async function exchange (agent: EndpointAgent, port: number, headers = ['Host', 'a'], body: Uint8Array = Buffer.alloc(0)): Promise<Outcome> {
   return await new Promise(resolve => {
     let status = 0
-    let body = ''
-    const call = { address: '127.0.0.1', port, method: 'GET', target: '/', headers, body: Buffer.alloc(0), connectTimeoutMs: 1_000 }
+    let text = ''
+    const call = { address: '127.0.0.1', port, method: body.length > 0 ? 'POST' : 'GET', target: '/', headers, body, connectTimeoutMs: 1_000 }
     const sink = {
       onHead: (code: number) => { status = code },
-      onData: (chunk: Buffer) => { body += chunk.toString() },
-      onEnd: () => resolve({ result: 'whole', status, body, sent: true }),
-      onError: (result: ExchangeFailure, sent: boolean) => resolve({ result, status, body, sent })
+      onData: (chunk: Buffer) => { text += chunk.toString() },
+      onEnd: () => resolve({ result: 'whole', status, body: text, sent: true }),
+      onError: (result: ExchangeFailure, sent: boolean) => resolve({ result, status, body: text, sent })
     }
     const started = new EndpointExchange(agent, call, sink)
     expect(started.sent).toBe(false)
@@ -45,6 +45,15 @@
 const LENGTH_DELIMITED = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 const CLOSE_DELIMITED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal'
 
+const UPLOAD_BYTES = 32_000_000 // more than the buffers of a connection hold
+const EARLY_RUNS = 8
+const EARLY_ENDS: ReadonlyArray<readonly [string, (socket: Socket, answer: string) => void]> = [
+  ['reset at once', (socket, answer) => { socket.write(answer, () => socket.resetAndDestroy()) }],
+  ['reset after a moment', (socket, answer) => { socket.write(answer, () => setTimeout(() => socket.resetAndDestroy(), 20)) }],
+  ['closed with the rest of the request unread', (socket, answer) => { socket.write(answer, () => socket.destroy()) }],
+  ['ended normally and then closed', (socket, answer) => { socket.end(answer, () => setTimeout(() => socket.destroy(), 20)) }]
+]
+
 describe('EndpointExchange', () => {
   it('treats a response without a length as complete when its connection ends normally', async () => {
     const port = await endpoint(socket => socket.end(CLOSE_DELIMITED))
@@ -94,6 +103,30 @@
     expect(taken).toEqual([])
   })
 
+  // A worker that fails within an upload must not turn the part of its answer that was sent before into a whole one.
+  describe('to an upload that is still being written', () => {
+    const headers = ['Host', 'a', 'Content-Length', String(UPLOAD_BYTES)]
+    const upload = Buffer.alloc(UPLOAD_BYTES)
+    const part = (bytes: number): string => CLOSE_DELIMITED.replace('hal', 'x'.repeat(bytes))
+
+    for (const bytes of [3, 100_000, 3_000_000]) {
+      for (const [when, end] of EARLY_ENDS) {
+        it(`treats a response of ${bytes} bytes without a length as incomplete when its connection is ${when}`, async () => {
+          const results = []
+          for (let i = 0; i < EARLY_RUNS; i++) {
+            const port = await endpoint(socket => {
+              socket.pause().removeAllListeners('data')
+              end(socket, part(bytes))
+            })
+            results.push((await exchange(new EndpointAgent(), port, headers, upload)).result)
+            server!.close()
+          }
+          expect(results).toEqual(Array(EARLY_RUNS).fill('reset'))
+        })
+      }
+    }
+  })
+
   it('treats a response that ends before its Content-Length as incomplete', async () => {
     const port = await endpoint(socket => socket.end(LENGTH_DELIMITED.replace('Content-Length: 2', 'Content-Length: 5')))
     expect(await exchange(new EndpointAgent(), port)).toMatchObject({ result: 'reset', body: 'ok' })
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -2,6 +2,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { framingOf, type AnswerEnd, type AnswerFraming } from '../common/http/AnswerFraming.js'
+import { isSuccess } from '../common/http/AnswerStatus.js'
 import { PieceJoiner } from '../common/http/PieceJoiner.js'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { InputTimeout } from './InputTimeout.js'
@@ -127,7 +128,7 @@
       contentLength: res.headers['content-length'],
       transferEncoding: res.headers['transfer-encoding']
     })
-    if (this.#framing === 'connection') res.socket.prependListener('end', () => this.#onConnectionEnd(res.socket))
+    if (this.#framing === 'connection') res.socket.prependListener('end', () => this.#onConnectionEnd(res))
     res.on('data', (piece: Buffer) => { if (!this.#settled) this.#body.push(piece) })
     res.on('error', e => this.#fail(e.message))
     res.on('aborted', () => this.#fail('answer broke off'))
@@ -135,9 +136,13 @@
     this.#sink.onHead(res.statusCode ?? 0, res.rawHeaders)
   }
 
-  /** Node reports a reset directly after the last bytes as a normal end, but the socket's remote address is then undefined. */
-  #onConnectionEnd (socket: Socket): void {
+  /**
+   * Node reports a reset directly after the last bytes as a normal end, but the socket's remote address is then undefined. An endpoint that
+   * ends a successful answer while the request is still being written hasn't read the request, so that the answer isn't whole.
+   */
+  #onConnectionEnd ({ socket, statusCode = 0 }: IncomingMessage): void {
     if (socket.remoteAddress === undefined) this.#fail('connection reset')
+    else if (isSuccess(statusCode) && this.#req?.writableFinished === false) this.#fail('connection ended before the request was written')
   }
 
   #end (res: IncomingMessage): void {
--- a/src/platform/TestUtils.test.ts
+++ b/src/platform/TestUtils.test.ts
@@ -197,17 +197,26 @@
   readonly close: () => void
 }
 
-/** Listens on loopback; `answer` is called with each request, whose body is taken to be `hello`. */
-async function startRawWorker (answer: (req: RawRequest) => void): Promise<RawWorker> {
+/** What differs from a raw site with the usual configuration. */
+export interface RawSiteOptions {
+  readonly config?: object
+  /** True to answer at the end of the request's head, and to leave the body unread; else the body is taken to be `hello`. */
+  readonly answersEarly?: boolean
+}
+
+/** Listens on loopback; `answer` is called with each request. */
+async function startRawWorker (answer: (req: RawRequest) => void, answersEarly: boolean): Promise<RawWorker> {
+  const requestEnd = answersEarly ? '\r\n\r\n' : '\r\n\r\nhello'
   const server = createServer(socket => {
     let text = ''
     let earlier = 0
     socket.on('error', () => {})
     socket.on('data', chunk => {
       text += String(chunk)
-      for (let end = text.indexOf('\r\n\r\nhello'); end >= 0; end = text.indexOf('\r\n\r\nhello')) {
+      for (let end = text.indexOf(requestEnd); end >= 0; end = text.indexOf(requestEnd)) {
         const head = text.slice(0, end)
-        text = text.slice(end + '\r\n\r\nhello'.length)
+        text = answersEarly ? '' : text.slice(end + requestEnd.length)
+        if (answersEarly) socket.pause()
         answer({ head, id: /^attempt-id: (.*)$/im.exec(head)?.[1] ?? '', earlier: earlier++, socket })
       }
     })
@@ -219,12 +228,13 @@
 }
 
 /** Starts a site whose only workers answer by `answer`. */
-export async function startRawSite (count: number, answer: (req: RawRequest, worker: number) => void): Promise<TestSite> {
+export async function startRawSite (count: number, answer: (req: RawRequest, worker: number) => void, options: RawSiteOptions = {}): Promise<TestSite> {
+  const { config = createConfig(7), answersEarly = false } = options
   const listed = new Set<unknown>()
-  const site = await startSite({ workers: 0, onLog: line => { if (line.step === 'endpoints') listed.add(line.endpoint) } })
+  const site = await startSite({ workers: 0, config, onLog: line => { if (line.step === 'endpoints') listed.add(line.endpoint) } })
   const rawWorkers: RawWorker[] = []
   for (let i = 0; i < count; i++) {
-    const worker = await startRawWorker(req => answer(req, i))
+    const worker = await startRawWorker(req => answer(req, i), answersEarly)
     rawWorkers.push(worker)
     site.store.put(`servers/r${i}`, worker.entry)
   }
