Take an answer with a status outside of 200 to 599 for no answer

Report: a failing endpoint answered with status 000, and the caller got that as a response.

Cause: nothing looked at the status. The gateway passed 600 and more on, and closed the caller's connection at 000 to 099, as Node refuses to write such a head. With "Not-Executed" such an answer was even believed as a promise that the request didn't run. The product's own interface passed 600 and 999 on, and believed "X-Not-Run" with them; undici itself ends 000 and 099 without an answer.

Change: one module tells which status a final answer can have. Both exchanges end an answer with another one as an error: its outcome is unknown, a route that allows it tries again, and the gateway uses new connections to this endpoint for a while, as after an answer to another request. undici also hands over interim answers (1xx), whose headers counted until the final ones came; they are left out now.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -190,6 +190,7 @@
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
     if (!sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
+    else if (failure === 'invalid') this.#settle({ kind: 'lost', why: 'untrusted', detail })
     else this.#settleBrokenOff(`${failure}: ${detail}`)
   }
 
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -2,7 +2,7 @@
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { framingOf, type AnswerEnd, type AnswerFraming } from '../common/http/AnswerFraming.js'
-import { isSuccess } from '../common/http/AnswerStatus.js'
+import { isFinalStatus, isSuccess } from '../common/http/AnswerStatus.js'
 import { PieceJoiner } from '../common/http/PieceJoiner.js'
 import type { EndpointAgent } from './EndpointAgent.js'
 import { InputTimeout } from './InputTimeout.js'
@@ -19,8 +19,8 @@
   readonly connectTimeoutMs: number
 }
 
-/** Why an exchange ended without a complete response. */
-export type ExchangeFailure = 'connect' | 'reset' | 'aborted'
+/** Why an exchange ended without a complete response; `invalid` when what arrived isn't a final response. */
+export type ExchangeFailure = 'connect' | 'reset' | 'aborted' | 'invalid'
 
 /** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
 export interface IExchangeSink {
@@ -121,10 +121,16 @@
       res.destroy()
       return
     }
+    const { statusCode = 0 } = res
+    if (!isFinalStatus(statusCode)) {
+      this.#failure = 'invalid'
+      this.#fail(`status ${statusCode} isn't one of a final answer`)
+      return
+    }
     this.#res = res
     this.#framing = framingOf({
       method: this.#req?.method ?? '',
-      status: res.statusCode ?? 0,
+      status: statusCode,
       contentLength: res.headers['content-length'],
       transferEncoding: res.headers['transfer-encoding']
     })
@@ -133,7 +139,7 @@
     res.on('error', e => this.#fail(e.message))
     res.on('aborted', () => this.#fail('answer broke off'))
     res.on('end', () => this.#end(res))
-    this.#sink.onHead(res.statusCode ?? 0, res.rawHeaders)
+    this.#sink.onHead(statusCode, res.rawHeaders)
   }
 
   /**
--- a/src/router/engines/HttpExchange.ts
+++ b/src/router/engines/HttpExchange.ts
@@ -1,6 +1,7 @@
 /** One HTTP exchange whose response body is forwarded chunk by chunk, without the cost of a readable stream. */
 import type { Dispatcher } from 'undici'
 import { framingOf, type AnswerEnd } from '../../common/http/AnswerFraming.js'
+import { isFinalStatus, isInterimStatus } from '../../common/http/AnswerStatus.js'
 import { PieceJoiner } from '../../common/http/PieceJoiner.js'
 
 /** Callbacks of one exchange; the last call is exactly one of `onEnd` and `onError`. */
@@ -54,7 +55,12 @@
       else if (sink.onSending?.() === false) c.abort(new Error('cancelled before sending'))
       else sent = true
     },
-    onResponseStart (_c, status, headers) {
+    onResponseStart (c, status, headers) {
+      if (isInterimStatus(status)) return
+      if (!isFinalStatus(status)) {
+        c.abort(new Error(`status ${status} isn't one of a final answer`))
+        return
+      }
       const { 'content-length': contentLength, 'transfer-encoding': transferEncoding } = headers
       end = framingOf({ method: req.method, status, contentLength: contentLength?.toString(), transferEncoding: transferEncoding?.toString() }) === 'connection' ? 'unknown' : 'whole'
       if (!aborted) sink.onHead(status, headers)
--- a/src/router/services/ServiceRunner.test.ts
+++ b/src/router/services/ServiceRunner.test.ts
@@ -77,6 +77,22 @@
     expect(ends).toEqual(Array(4).fill('response_lost'))
   })
 
+  // Such an answer was passed on, or taken as the service's word that the call didn't run.
+  it('is lost when its status isn\'t one of a final answer', async () => {
+    const codes = []
+    for (const status of ['000', '099', '600', '999', '0']) {
+      codes.push(await callWorker(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nok`, 'normal'))
+      codes.push(await callWorker(`HTTP/1.1 ${status} Odd\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok`, 'normal'))
+    }
+    expect(codes).toEqual(Array(10).fill('response_lost'))
+  })
+
+  it('is whole after an interim one, and lost when only that comes', async () => {
+    const interim = 'HTTP/1.1 103 Early Hints\r\nX-Not-Run: 1\r\n\r\n'
+    const ends = [await callWorker(`${interim}${HEAD}Content-Length: 2\r\n\r\nok`, 'normal'), await callWorker(interim, 'normal')]
+    expect(ends).toEqual(['ok', 'response_lost'])
+  })
+
   it('is whole with a length or chunks, and refused where the service says so', async () => {
     const ends = [
       await callWorker(`${HEAD}Content-Length: 2\r\n\r\nok`, 'normal'),
