Count an unmarked end as whole only when the endpoint's process is seen to live on

Cause: the end of a stream without length or chunks was checked by a connection to the endpoint's port. An endpoint that crashed and was back before the end was read accepted the connection for the process before it.

Evidence weighed: the bytes, "Connection: close" and the kind of the end (FIN) are the same for a whole answer and a killed process. A new incarnation in the list is seconds late, and a refusal tells nothing of an endpoint that stops listening while it ends its answers. What a dead process can't do is to hold a connection, and its successor can't take one over.

Change: when the head of such an answer arrives, the gateway opens one idle connection to the endpoint (shared by answers that begin within a second); after the end it must be open for 50 ms more. Where an answer of the endpoint was of this kind before, it is opened with the request. The port is still asked, of listed endpoints that aren't leaving. The line of a request names the evidence ("end").

The two errors: on a streaming route no evidence means broken off. So a whole first stream is reported as broken when its endpoint refuses connections from before its head, or closes idle connections within it. A call whose idle connection never came about keeps the old rule.

Two tests with the same expectations or stricter ones say what holds when the port closes before the head: whole after an earlier such answer, broken off without one.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -31,6 +31,12 @@
   /** Cancelled by this instance: the caller disconnected or the deadline passed. */
   | { readonly kind: 'stopped', readonly sent: boolean }
 
+/** Whether an answer whose end isn't marked counts as whole, and why. */
+export interface EndVerdict {
+  readonly whole: boolean
+  readonly detail: string
+}
+
 /** Options of an attempt. */
 export interface AttemptOptions {
   /** True to forward a successful response as it arrives. */
@@ -45,8 +51,10 @@
   readonly onLate: () => void
   /** Called at most once, when the answer has gone on for `YOUNG_ANSWER_MS`. */
   readonly onMatured: () => void
-  /** Resolves to true when an answer whose end isn't marked counts as whole. */
-  readonly confirmEnd: () => Promise<boolean>
+  /** Called at the head of an answer whose end isn't marked. */
+  readonly onUnmarked: () => void
+  /** Called at the end of such an answer; resolves to what was found out. */
+  readonly confirmEnd: () => Promise<EndVerdict>
   /** Decodes a response head. @param isReused true when the connection carried an earlier request. */
   readonly decodeHead: (status: number, headers: HeaderList, isReused: boolean) => ResponseHead
 }
@@ -64,6 +72,7 @@
   #settled = false
   /** Finds the end of events that are passed on unchanged, where nothing else marks the end of the answer. */
   #unmarkedEvents: SseFramer | undefined
+  #endDetail: string | undefined
   readonly #idleTimeout: InputTimeout | undefined
   readonly #lateTimer: NodeJS.Timeout
   #resolve!: (result: AttemptResult) => void
@@ -96,7 +105,8 @@
     const { eventStream } = this.#options
     if (framing === undefined || this.#answerBeganAt === undefined) return {}
     const stream = eventStream === undefined ? {} : { events: eventStream.runEvents, partialEvent: eventStream.hasPartialEvent }
-    return { answerMs: Math.round(performance.now() - this.#answerBeganAt), framing, ...stream }
+    const end = this.#endDetail === undefined ? {} : { end: this.#endDetail }
+    return { answerMs: Math.round(performance.now() - this.#answerBeganAt), framing, ...stream, ...end }
   }
 
   /** Cancels the attempt. */
@@ -114,6 +124,7 @@
       this.#settle({ kind: 'lost', why: 'untrusted', detail: `answer of status ${status} isn't the endpoint's own answer to this request` })
       return
     }
+    if (this.#exchange.framing === 'connection') this.#options.onUnmarked()
     const succeeded = status >= 200 && status < 300
     if (this.#response.headersSent && !(succeeded && head.isEventStream)) this.#settleNoContinuation(head)
     else if (this.#options.streaming && succeeded) this.#startStreaming()
@@ -153,10 +164,11 @@
 
   /** Ends an answer whose end isn't marked; all of a stream's events have been passed on by now. */
   async #confirmEnd (head: ResponseHead): Promise<void> {
-    const whole = await this.#options.confirmEnd()
+    const verdict = await this.#options.confirmEnd()
     if (this.#settled) return
-    if (whole) this.#finish(head)
-    else this.#settleBrokenOff('answer without a marked end, and the endpoint refuses connections')
+    this.#endDetail = verdict.detail
+    if (verdict.whole) this.#finish(head)
+    else this.#settleBrokenOff('answer without a marked end, and no evidence that the endpoint lived on')
   }
 
   #finish (head: ResponseHead): void {
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -13,12 +13,14 @@
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { EndpointAgent } from './EndpointAgent.js'
+import { EndpointLiveness } from './EndpointLiveness.js'
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
 
 /** State of an endpoint with its connections. */
 export class PooledEndpoint extends EndpointState {
   readonly agent = new EndpointAgent()
+  readonly liveness = new EndpointLiveness(this.endpoint)
 }
 
 export class EndpointPool extends Disposable {
@@ -39,7 +41,10 @@
     super()
     this.#clock = clock
     this.#log = log
-    this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
+    this.own(toDisposable(() => this.#states.forEach(s => {
+      s.agent.destroy()
+      s.liveness.dispose()
+    })))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
       else this.#getOrCreate(endpoint)
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -1,14 +1,16 @@
 /** Forwards one request whose body has been read: chooses endpoints, retries where that is safe, and enforces the deadline. */
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import { hashString } from '../common/Hash.js'
+import { isWholeAt } from '../common/http/UnmarkedEnd.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import { streamIdleMs } from '../common/routing/StreamIdle.js'
 import type { Account, Route } from '../common/routing/Types.js'
 import type { ConnectProbe } from '../router/engines/ConnectProbe.js'
-import { Attempt, type AttemptResult } from './Attempt.js'
+import { Attempt, type AttemptResult, type EndVerdict } from './Attempt.js'
 import type { CallerResponse } from './CallerResponse.js'
 import type { ExchangeRequest } from './EndpointExchange.js'
+import type { ILivenessWatch } from './EndpointLiveness.js'
 import type { PooledEndpoint } from './EndpointPool.js'
 import { EndpointSelector, type SelectorServices } from './EndpointSelector.js'
 import { EventStream } from './EventStream.js'
@@ -145,6 +147,7 @@
     this.#selector.recordAttempt(state.endpoint)
     if (!this.#retryable) state.agent.closeIdle(MAX_REUSE_IDLE_MS)
     state.inFlight++
+    let liveness = state.liveness.watchAgain()
     const attempt = new Attempt(state.agent, this.#buildExchangeRequest(state), this.#response, {
       streaming: route.streaming,
       eventStream: this.#eventStream,
@@ -152,11 +155,13 @@
       lateThresholdMs: this.#lateThresholdMs(),
       onMatured: () => this.#recordSound(),
       onLate: () => this.#services.pool.recordOutcome(state, 'late', this.#context.request.id),
-      confirmEnd: async () => await this.#confirmEnd(state),
+      onUnmarked: () => { liveness ??= state.liveness.watch() },
+      confirmEnd: async () => await this.#confirmEnd(state, liveness!),
       decodeHead: (status, headers, isReused) => this.#decodeHead(state, status, headers, isReused)
     })
     this.#currentAttempt = attempt
     const result = await attempt.result
+    liveness?.dispose()
     state.inFlight--
     const now = clock.nowMs()
     this.#currentAttempt = undefined
@@ -165,9 +170,13 @@
     return result
   }
 
-  /** An endpoint that refuses connections after the end of its answer crashed within it, unless it is leaving: then it ends its answers first. */
-  async #confirmEnd (state: PooledEndpoint): Promise<boolean> {
-    return !this.#services.pool.isUsable(state.hash) || await this.#services.probe(state.endpoint) !== 'refused'
+  /** Decides whether an answer without a marked end is whole. */
+  async #confirmEnd (state: PooledEndpoint, watch: ILivenessWatch): Promise<EndVerdict> {
+    const { streaming } = this.#context.route
+    const usable = this.#services.pool.isUsable(state.hash)
+    const [liveness, probe] = await Promise.all([watch.check(), usable ? this.#services.probe(state.endpoint) : undefined])
+    const whole = isWholeAt({ streaming, usable, refused: probe === 'refused', liveness })
+    return { whole, detail: `${liveness}, ${probe === undefined ? 'leaving' : `probe ${probe}`}` }
   }
 
   /** Records what the attempt's end tells of the prompt. */
--- a/src/gateway/RequestLog.ts
+++ b/src/gateway/RequestLog.ts
@@ -18,6 +18,8 @@
   readonly events?: number
   /** True when bytes of an incomplete event followed them. */
   readonly partialEvent?: boolean
+  /** What was found out about the endpoint when the end wasn't marked. */
+  readonly end?: string
 }
 
 /** Log fields of the response to the caller. */
--- a/src/platform/BrokenAnswer.test.ts
+++ b/src/platform/BrokenAnswer.test.ts
@@ -1,5 +1,6 @@
 /** End-to-end tests on loopback of answers that are broken off where nothing marks their end. */
-import { connect } from 'node:net'
+import { request, type IncomingMessage } from 'node:http'
+import { connect, createServer, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
@@ -9,6 +10,9 @@
 const PROMPT = { 'prefix-hash': 'aa:100,bb:500,cc:50', 'token-count': '650,20' }
 const EVENTS = [1, 2, 3, 4].map(i => `id: ${i}\ndata: token${i}\n\n`)
 const PROPAGATION_MS = 50
+const SLOW_EVENT_MS = 150
+const LARGE_EVENT = `data: ${'x'.repeat(992)}\n\n`
+const FLOOD_EVENTS = 6_000 // about what the buffers up to a caller that doesn't read hold
 const LARGE_ANSWER_BYTES = 3_000_000 // more than a gateway buffers
 
 let store: PlatformStore
@@ -30,6 +34,71 @@
   })
 }
 
+/** Starts a worker of a service of its own, whose answers are unmarked and whose events come slowly. */
+async function startSlowWorker (workMs = 0): Promise<PlatformWorker> {
+  const common = { host: 'a.example', service: 'slow', max_attempts: 1, timeout_ms: 3_000, latency_goal_ms: 500, priority: 1 }
+  const worker = new PlatformWorker('w3', { eventIntervalMs: SLOW_EVENT_MS, workMs })
+  await worker.listen()
+  stops.push(() => worker.close())
+  worker.mode = 'unframed whole'
+  store.put('servers/w3', worker.storeEntry('slow'))
+  store.put('op/config', createConfig(8, [
+    { ...common, name: 'slow', path_prefix: '/stream/slow/', route_kind: 'streaming' },
+    { ...common, name: 'slow calls', path_prefix: '/write/slow/', route_kind: 'non_idempotent' }
+  ]))
+  await waitUntil(() => gateway.gateway.configRevision === 8 && logLines.some(line => line.endpoint === 'w3'))
+  return worker
+}
+
+/** Ends a worker with its connections; another one under its id listens at its port at once. */
+async function restart (worker: PlatformWorker): Promise<void> {
+  worker.close()
+  const successor = new PlatformWorker('w3')
+  await successor.listen(worker.port)
+  stops.push(() => successor.close())
+}
+
+/** Starts a worker that answers with many whole events and never ends an answer; its restart ends all connections. */
+async function startFloodingWorker (): Promise<{ readonly hasWritten: () => boolean, readonly restart: () => Promise<void> }> {
+  const worker = await startSlowWorker()
+  worker.close()
+  let hasWritten = false
+  const sockets: Socket[] = []
+  const server = createServer(socket => {
+    sockets.push(socket)
+    socket.on('error', () => {}).once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n')
+      socket.write(LARGE_EVENT.repeat(FLOOD_EVENTS), () => { hasWritten = true })
+    })
+  })
+  const listen = async (): Promise<void> => { await new Promise<void>(resolve => server.listen(worker.port, '127.0.0.1', resolve)) }
+  await listen()
+  stops.push(() => {
+    server.close()
+    sockets.forEach(socket => socket.destroy())
+  })
+  const restart = async (): Promise<void> => {
+    server.close()
+    sockets.splice(0).forEach(socket => socket.destroy())
+    await listen()
+  }
+  return { hasWritten: () => hasWritten, restart }
+}
+
+/** Sends a request and reads nothing of its answer's body before `readOn`, which returns how the answer ended. */
+async function callSlowly (path: string): Promise<{ readonly readOn: () => Promise<'whole' | 'broken'> }> {
+  const headers = { host: 'a.example', 'attempt-id': 'r1', 'deadline-ms': '3000', authorization: 'Bearer k1', ...PROMPT }
+  const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+    request({ port: gateway.port, host: '127.0.0.1', method: 'POST', path, headers, agent: false }, resolve).on('error', reject).end('hello')
+  })
+  const end = new Promise<'whole' | 'broken'>(resolve => { answer.on('end', () => resolve('whole')).on('error', () => resolve('broken')) })
+  const readOn = async (): Promise<'whole' | 'broken'> => {
+    answer.resume()
+    return await end
+  }
+  return { readOn }
+}
+
 beforeEach(async () => {
   store = new PlatformStore()
   const storePort = await store.listen()
@@ -88,22 +157,69 @@
 
   // A leaving endpoint accepts no connections any more while it ends its answers.
   it('is whole when its endpoint is leaving and refuses connections', async () => {
-    const route = { name: 'slow', host: 'a.example', path_prefix: '/stream/slow/', service: 'slow', route_kind: 'streaming', max_attempts: 1 }
-    const worker = new PlatformWorker('w3', { eventIntervalMs: 150 })
-    await worker.listen()
-    stops.push(() => worker.close())
-    worker.mode = 'unframed whole'
-    store.put('servers/w3', worker.storeEntry('slow'))
-    store.put('op/config', createConfig(8, [{ ...route, timeout_ms: 3_000, latency_goal_ms: 500, priority: 1 }]))
-    await waitUntil(() => gateway.gateway.configRevision === 8 && logLines.some(line => line.endpoint === 'w3'))
+    const worker = await startSlowWorker()
     const pending = call(gateway.port, '/stream/slow/1', PROMPT)
     await waitUntil(() => worker.executedIds.length > 0)
+    await sleep(PROPAGATION_MS)
+    worker.stopListening()
+    store.put('servers/w3', worker.storeEntry('slow', 'draining'))
+    const answer = await pending
+    expect([answer.status, answer.complete, answer.body]).toEqual([200, true, EVENTS.join('')])
+  })
+
+  it('is whole when its endpoint refuses connections from before its head, and an earlier answer was of this kind', async () => {
+    const worker = await startSlowWorker(SLOW_EVENT_MS)
+    await call(gateway.port, '/stream/slow/1', PROMPT)
+    const pending = call(gateway.port, '/stream/slow/1', PROMPT)
+    await waitUntil(() => worker.executedIds.length > 1)
     worker.stopListening()
     store.put('servers/w3', worker.storeEntry('slow', 'draining'))
     const answer = await pending
     expect([answer.status, answer.complete, answer.body]).toEqual([200, true, EVENTS.join('')])
   })
 
+  // Nothing tells such an answer from one whose endpoint was taken away: a whole stream in doubt is less harm than a part that looks whole.
+  it('is aborted when its endpoint refuses connections from before its head, and no earlier answer was of this kind', async () => {
+    const worker = await startSlowWorker(SLOW_EVENT_MS)
+    const pending = call(gateway.port, '/stream/slow/1', PROMPT)
+    await waitUntil(() => worker.executedIds.length > 0)
+    worker.stopListening()
+    store.put('servers/w3', worker.storeEntry('slow', 'draining'))
+    const answer = await pending
+    expect([answer.status, answer.complete, answer.body]).toEqual([200, false, EVENTS.join('')])
+  })
+
+  // A leaving endpoint wasn't asked whether it lives: each stream in the middle of which it was taken away ended as complete.
+  it('is aborted when its endpoint is leaving and is taken away between two events', async () => {
+    const worker = await startSlowWorker()
+    const pending = call(gateway.port, '/stream/slow/1', PROMPT)
+    await waitUntil(() => worker.executedIds.length > 0)
+    store.put('servers/w3', worker.storeEntry('slow', 'draining'))
+    await waitUntil(() => logLines.some(line => line.endpoint === 'w3' && line.kind === 'leaving'))
+    worker.close()
+    const answer = await pending
+    expect([answer.status, answer.complete, EVENTS.join('').startsWith(answer.body)]).toEqual([200, false, true])
+  })
+
+  // An endpoint that accepts connections again when the end is read looked as if it had lived on.
+  it('is aborted when its endpoint ends between two events and is back at once', async () => {
+    const worker = await startSlowWorker()
+    const pending = call(gateway.port, '/stream/slow/1', PROMPT)
+    await waitUntil(() => worker.executedIds.length > 0)
+    await sleep(PROPAGATION_MS)
+    await restart(worker)
+    const answer = await pending
+    expect([answer.status, answer.complete, EVENTS.join('').startsWith(answer.body)]).toEqual([200, false, true])
+  })
+
+  it.each([['a stream', '/stream/slow/1'], ['a call', '/write/slow/1']])('is aborted when the endpoint of %s ends and is back before a slow caller has read on', async (_, path) => {
+    const worker = await startFloodingWorker()
+    const caller = await callSlowly(path)
+    await waitUntil(() => worker.hasWritten())
+    await worker.restart()
+    expect(await caller.readOn()).toBe('broken')
+  })
+
   // The events of the first run counted for the second one, so that its empty answer looked whole.
   it('is aborted when the endpoint that resumes a stream ends before its first event', async () => {
     const first = await setModeOfFirstWorker(gateway.port, workers, '/stream/again/1', PROMPT, 'tearing')
