Find out that an engine ended though its port accepts connections

Callers saw: prompts with a part that ends engines were sent on without end, where the engine's port went on accepting.

Cause: a crash counted only when the next connection wasn't accepted, or when the list named the end within 5 s. A listener that outlives the process accepts; the list was later than the watch. A close on an incarnation that the list had already dropped was never counted at all.

Change: three more proofs. Several of this instance's connections to the endpoint ended within 50 ms and none that was open before is left (ConnectionEnds); a peer's connection ended at the same time beside this instance's; the incarnation is gone from the list, up to 15 s later or before the close. A close that none of them explains is passed on as unconfirmed evidence (flag in the datagram, which instances of the version before drop): five engines make a part suspect, six at three different times block it. One connection that the network resets proves nothing, nor does an engine that resets responses and keeps others open.

Ruled out: exit and restart on the same port by a process that was started in advance (restart delay 0): the connection right after the crash is refused, the old code counted 3 crashes there and blocked the part.

--- a/src/common/routing/PartEvidence.test.ts
+++ b/src/common/routing/PartEvidence.test.ts
@@ -38,6 +38,25 @@
     expect(stateOf(evidenceOf([[FATAL], [FATAL], [FATAL], [FATAL]], 20), FATAL)).toBe('sound')
   })
 
+  // Without a proof that the engines ended, a network that resets connections and an engine that ends look alike at first.
+  it('suspects a part that five engines broke off, and blocks it after six, not when one did so often or all at once', () => {
+    const states = [[1, 2, 3, 4], [1, 2, 3, 4, 5], [1, 2, 3, 4, 5, 6], [1, 1, 1, 1, 1, 1, 1]].map(engines => {
+      const evidence = new PartEvidence()
+      engines.forEach((engine, i) => evidence.recordClose([FATAL], engine, 0, APART_MS * i))
+      return stateOf(evidence, FATAL)
+    })
+    const together = new PartEvidence()
+    for (let engine = 1; engine <= 8; engine++) together.recordClose([FATAL], engine, 0, engine)
+    expect([...states, stateOf(together, FATAL)]).toEqual(['sound', 'suspect', 'blocked', 'sound', 'sound'])
+  })
+
+  it('counts engines that broke off the part as ended once the list tells so', () => {
+    const evidence = new PartEvidence()
+    for (const engine of [1, 2, 3]) evidence.recordClose([FATAL], engine, 0, APART_MS * engine)
+    const news = [1, 2, 3].flatMap(engine => evidence.confirmCrash(engine, 5_000, 10_000))
+    expect([news.length, stateOf(evidence, FATAL)]).toEqual([3, 'blocked'])
+  })
+
   it('holds nothing against a part with a whole answer since, whichever instance saw it first', () => {
     const evidence = evidenceOf([[FATAL, 1], [FATAL, 1], [FATAL, 1]])
     const stale = evidence.reports(64, 2_000)
@@ -87,7 +106,8 @@
   })
 
   it('is the same in whatever order and however often the reports of instances arrive', () => {
-    const report: fc.Arbitrary<PartCrash> = fc.record({ part: fc.nat(3), endpoint: fc.nat(5), ageMs: fc.constant(0), refuted: fc.boolean() })
+    const report: fc.Arbitrary<PartCrash> = fc
+      .record({ part: fc.nat(3), endpoint: fc.nat(5), ageMs: fc.constant(0), refuted: fc.boolean(), unconfirmed: fc.boolean() })
       .map(r => ({ ...r, ageMs: 10_000 - 300 * r.endpoint - r.part }))
     fc.assert(fc.property(fc.array(report, { maxLength: 30 }), fc.infiniteStream(fc.nat()), (reports, keys) => {
       const assessed = (order: readonly PartCrash[]): unknown[] => {
--- a/src/common/routing/PartEvidence.ts
+++ b/src/common/routing/PartEvidence.ts
@@ -12,6 +12,8 @@
 const EPISODE_MS = 100 // engines that end within this time of each other may have one cause outside of the prompt, and count once
 const SUSPECT_EPISODES = 2
 const BLOCKED_EPISODES = 3
+const SUSPECT_ENGINES = 5 // engines that broke off answers, without a proof that they ended, from which a part is suspect
+const BLOCKED_ENGINES = 6 // the same, from which it is blocked
 const FIRST_TRIAL_MS = 20_000 // from the last crash of a blocked part to the next trial
 const TRIAL_BACKOFF = 4 // factor of that time for each trial that ended an engine
 const MAX_TRIAL_MS = 3_600_000
@@ -38,6 +40,8 @@
 
 interface Crash {
   readonly at: number
+  /** False while nothing but a broken answer shows that the endpoint ended. */
+  readonly confirmed: boolean
   /** True when an answer on the part was whole after the crash. */
   readonly refuted: boolean
 }
@@ -48,7 +52,7 @@
 interface CrashSummary {
   /** Endpoints whose crashes weren't refuted. */
   readonly endpoints: ReadonlySet<number>
-  /** Crashes at different times that weren't refuted. */
+  /** Confirmed crashes at different times that weren't refuted, or as many as other evidence is worth. */
   readonly episodes: number
   readonly lastAt: number
   /** Time of the last crash, refuted or not. */
@@ -96,12 +100,28 @@
     return this.merge(parts.map(part => ({ part, endpoint, ageMs, refuted: false })), now)
   }
 
+  /** Records that an endpoint broke off young answers on these parts `ageMs` ago and may have ended; returns what is new. */
+  recordClose (parts: readonly number[], endpoint: number, ageMs: number, now: number): PartCrash[] {
+    return this.merge(parts.map(part => ({ part, endpoint, ageMs, refuted: false, unconfirmed: true })), now)
+  }
+
+  /** Confirms that an endpoint ended, where it broke off answers at most `maxAgeMs` ago; returns what is new. */
+  confirmCrash (endpoint: number, now: number, maxAgeMs: number): PartCrash[] {
+    const confirmed: PartCrash[] = []
+    for (const [part, crashes] of this.#parts) {
+      const crash = crashes.get(endpoint)
+      if (crash === undefined || crash.confirmed || crash.refuted || now - crash.at > maxAgeMs) continue
+      confirmed.push(toReport(part, endpoint, { ...crash, confirmed: true }, now))
+    }
+    return this.merge(confirmed, now)
+  }
+
   /** Records an answer on these parts that shows them to be sound; returns what is new. */
   recordSound (parts: readonly number[], now: number): PartCrash[] {
     if (this.isEmpty) return []
     const refutations = parts.flatMap(part => [...this.#parts.get(part) ?? []]
       .filter(([, crash]) => !crash.refuted)
-      .map(([endpoint, crash]) => ({ part, endpoint, ageMs: now - crash.at, refuted: true })))
+      .map(([endpoint, { at, confirmed }]) => toReport(part, endpoint, { at, confirmed, refuted: true }, now)))
     return this.merge(refutations, now)
   }
 
@@ -120,14 +140,14 @@
     const parts = [...this.#parts].sort(([a], [b]) => this.#episodesOf(b) - this.#episodesOf(a))
     const reports: PartCrash[] = []
     for (const [part, crashes] of parts) {
-      for (const [endpoint, { at, refuted }] of crashes) reports.push({ part, endpoint, ageMs: Math.max(0, Math.round(now - at)), refuted })
+      for (const [endpoint, crash] of crashes) reports.push(toReport(part, endpoint, crash, now))
       if (reports.length >= max) break
     }
     return reports.slice(0, max)
   }
 
   /** Joins one report: the earliest time counts, and a refutation outlasts what it refutes. */
-  #join ({ part, endpoint, ageMs, refuted }: PartCrash, now: number): boolean {
+  #join ({ part, endpoint, ageMs, refuted, unconfirmed }: PartCrash, now: number): boolean {
     const at = now - ageMs
     if (ageMs > KEPT_MS) return false
     const isKnownPart = this.#parts.has(part)
@@ -135,10 +155,14 @@
     const crashes: Crashes = this.#parts.get(part) ?? new Map<number, Crash>()
     const known = crashes.get(endpoint)
     if (known === undefined && crashes.size >= MAX_CRASHES && !this.#makeRoom(crashes, at)) return false
-    crashes.set(endpoint, { at: Math.min(at, known?.at ?? Infinity), refuted: refuted || known?.refuted === true })
-    if (known !== undefined && (known.refuted || !refuted)) return false
+    const joined = {
+      at: Math.min(at, known?.at ?? Infinity),
+      refuted: refuted || known?.refuted === true,
+      confirmed: unconfirmed !== true || known?.confirmed === true
+    }
+    crashes.set(endpoint, joined)
     this.#parts.set(part, crashes)
-    return true
+    return known === undefined || (!known.refuted && (joined.refuted || joined.confirmed !== known.confirmed))
   }
 
   /** Drops the oldest crash of a part for one at `at`; false when that one is older. What was dropped isn't taken again from a peer. */
@@ -179,16 +203,15 @@
   /** Sums up the crashes of a part; forgets a part without crashes. */
   #summarise (part: number): void {
     const crashes = this.#parts.get(part)!
-    const unrefuted = [...crashes].filter(([, crash]) => !crash.refuted)
-    const times = unrefuted.map(([, crash]) => crash.at).sort((a, b) => a - b)
-    const episodes = countEpisodes(times)
+    const unrefuted = [...crashes].filter(([, crash]) => !crash.refuted).sort(([, a], [, b]) => a.at - b.at)
+    const episodes = effectiveEpisodes(unrefuted.map(([, crash]) => crash))
     const latestAt = Math.max(...[...crashes.values()].map(crash => crash.at))
     if (crashes.size === 0) {
       this.#parts.delete(part)
       this.#summaries.delete(part)
     } else {
       const endpoints = new Set(unrefuted.map(([endpoint]) => endpoint))
-      this.#summaries.set(part, { endpoints, episodes, lastAt: times[times.length - 1] ?? -Infinity, latestAt })
+      this.#summaries.set(part, { endpoints, episodes, lastAt: unrefuted[unrefuted.length - 1]?.[1].at ?? -Infinity, latestAt })
     }
     if (episodes >= SUSPECT_EPISODES) this.#suspects.add(part)
     else this.#suspects.delete(part)
@@ -234,11 +257,24 @@
   return a.size === b.size && [...a].every(item => b.has(item))
 }
 
-/** Counts groups of times, each of which begins more than an episode after the one before. @param times in ascending order. */
-function countEpisodes (times: readonly number[]): number {
+function toReport (part: number, endpoint: number, { at, refuted, confirmed }: Crash, now: number): PartCrash {
+  return { part, endpoint, ageMs: Math.max(0, Math.round(now - at)), refuted, ...confirmed ? {} : { unconfirmed: true } }
+}
+
+/** Episodes of confirmed crashes, or as many as the number of engines is worth. @param crashes in ascending order of time. */
+function effectiveEpisodes (crashes: readonly Crash[]): number {
+  const confirmed = crashes.filter(crash => crash.confirmed)
+  const all = countEpisodes(crashes)
+  const isSuspect = crashes.length >= SUSPECT_ENGINES && all >= SUSPECT_EPISODES
+  const isBlocked = crashes.length >= BLOCKED_ENGINES && all >= BLOCKED_EPISODES
+  return Math.max(countEpisodes(confirmed), isBlocked ? BLOCKED_EPISODES : isSuspect ? SUSPECT_EPISODES : 0)
+}
+
+/** Counts groups of crashes, each of which begins more than an episode after the one before. @param crashes in ascending order of time. */
+function countEpisodes (crashes: readonly Crash[]): number {
   let episodes = 0
   let startedAt = -Infinity
-  for (const at of times) {
+  for (const { at } of crashes) {
     if (at - startedAt <= EPISODE_MS) continue
     startedAt = at
     episodes++
--- a/src/gateway/EndpointAgent.ts
+++ b/src/gateway/EndpointAgent.ts
@@ -5,6 +5,7 @@
 import { Agent, type ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { ConnectionEnds, type ConnectionsAt } from '../common/routing/ConnectionEnds.js'
 
 const IDLE_TIMEOUT_MS = 8_000 // a shorter keep-alive timeout stated by the endpoint takes precedence
 const KEEP_ALIVE_PROBE_MS = 1_000
@@ -15,10 +16,14 @@
   readonly since: number
   /** Closes the connection when unsolicited bytes arrive. */
   readonly onUnexpectedData: () => void
+  /** Records that the endpoint's side closed the connection. */
+  readonly onEnd: () => void
 }
 
 export class EndpointAgent extends Agent {
   readonly #idle = new WeakMap<Duplex, IdleConnection>()
+  readonly #openedAt = new WeakMap<Duplex, number>()
+  readonly #ends = new ConnectionEnds()
   #reuseDisabledUntil = -Infinity
 
   constructor () {
@@ -31,6 +36,17 @@
     this.closeIdle()
   }
 
+  /** Records that the endpoint's side closed a connection within an answer, or instead of one. */
+  recordEnd (): void {
+    this.#ends.recordEnd(performance.now())
+  }
+
+  /** What became of the connections at about `at`, on the monotonic clock; final after `CONNECTIONS_SETTLE_MS`. */
+  connectionsAt (at: number): ConnectionsAt {
+    const open = [...Object.values(this.sockets), ...Object.values(this.freeSockets)].flatMap(sockets => sockets ?? []).filter(socket => !socket.destroyed)
+    return this.#ends.lookUp(at, open.map(socket => this.#openedAt.get(socket) ?? Infinity))
+  }
+
   /** Closes connections that have been idle for at least `longerThanMs`, as they may be dead. */
   closeIdle (longerThanMs = 0): void {
     const before = performance.now() - longerThanMs
@@ -41,18 +57,26 @@
     }
   }
 
+  override createConnection (...args: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
+    const socket = super.createConnection(...args)
+    if (socket !== null && socket !== undefined) this.#openedAt.set(socket, performance.now())
+    return socket
+  }
+
   /** Decides whether a connection is kept alive after its request. */
   override keepSocketAlive (socket: Duplex): boolean {
     if (performance.now() < this.#reuseDisabledUntil || !super.keepSocketAlive(socket)) return false
     const onUnexpectedData = (): void => { socket.destroy() }
-    this.#idle.set(socket, { since: performance.now(), onUnexpectedData })
+    const onEnd = (): void => this.recordEnd()
+    this.#idle.set(socket, { since: performance.now(), onUnexpectedData, onEnd })
     socket.on('data', onUnexpectedData)
+    socket.once('end', onEnd).once('error', onEnd)
     return true
   }
 
   override reuseSocket (socket: Duplex, req: ClientRequest): void {
     const idle = this.#idle.get(socket)
-    if (idle !== undefined) socket.removeListener('data', idle.onUnexpectedData)
+    if (idle !== undefined) socket.off('data', idle.onUnexpectedData).off('end', idle.onEnd).off('error', idle.onEnd)
     ;(socket as Socket).setTimeout(0)
     super.reuseSocket(socket, req)
   }
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -35,6 +35,7 @@
 export class EndpointExchange {
   /** Undefined when the request can't be expressed in HTTP, as with an address or header that isn't valid. */
   readonly #req: ClientRequest | undefined
+  readonly #agent: EndpointAgent
   readonly #sink: IExchangeSink
   readonly #body = new PieceJoiner(bytes => { if (!this.#settled) this.#sink.onData(bytes) })
   #res: IncomingMessage | undefined
@@ -45,6 +46,7 @@
   #failure: ExchangeFailure = 'connect'
 
   constructor (agent: EndpointAgent, call: ExchangeRequest, sink: IExchangeSink) {
+    this.#agent = agent
     this.#sink = sink
     try {
       this.#req = this.#start(agent, call)
@@ -156,6 +158,7 @@
     if (this.#settled) return
     this.#settled = true
     this.#connectTimeout?.dispose()
+    if (this.#failure === 'reset') this.#agent.recordEnd()
     this.#sink.onError(this.#failure, this.#sent, detail)
     this.#req?.destroy()
   }
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -104,6 +104,42 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // A parent that held the listening socket accepted connections for the engine that had ended, and the list was seconds late.
+  it('counts an endpoint as ended that closed all connections, of one gateway or of two at the same time, though it accepts others', async () => {
+    const closed = { connectionsAt: () => ({ ended: 2, left: 0 }) }
+    const single = { connectionsAt: () => ({ ended: 1, left: 0 }) }
+    for (const id of ['e1', 'e2', 'e3']) fleet.alive.add(id)
+    fleet.guard(0).recordClose(endpoint('e1'), FATAL, closed)
+    await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    for (const id of ['e2', 'e3']) {
+      fleet.guard(1).recordClose(endpoint(id), FATAL, single)
+      await vi.advanceTimersByTimeAsync(5)
+      fleet.guard(2).recordClose(endpoint(id), prompt('template', 'other'), single)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(await fleet.countSenders(FATAL)).toBe(0)
+  })
+
+  it('holds nothing against a prompt when endpoints reset connections of two gateways at the same time, and others stay open', async () => {
+    const partly = { connectionsAt: () => ({ ended: 1, left: 1 }) }
+    for (const id of ['e1', 'e2', 'e3', 'e4']) {
+      fleet.alive.add(id)
+      for (const i of [1, 2]) fleet.guard(i).recordClose(endpoint(id), FATAL, partly)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(await fleet.countSenders(FATAL)).toBe(GATEWAYS)
+  })
+
+  it('counts endpoints as ended whose end the list tells seconds later, or before the close of the connection', async () => {
+    for (const id of ['e1', 'e2', 'e3']) fleet.alive.add(id)
+    fleet.guard(3).recordGone(endpoint('e3'))
+    await fleet.crashEngines(['e1', 'e2', 'e3'], 1)
+    await vi.advanceTimersByTimeAsync(7_000)
+    for (const guard of fleet.guards.values()) ['e1', 'e2'].forEach(id => guard.recordGone(endpoint(id)))
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    expect(await fleet.countSenders(FATAL)).toBe(0)
+  })
+
   // Eight gateways of the record had restarted between the crashes, and sent the part on again.
   it('is ready after a start only with the evidence of its peers, also when others start at the same time', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
--- a/src/gateway/PromptGuard.ts
+++ b/src/gateway/PromptGuard.ts
@@ -11,12 +11,12 @@
 import { TrialLeases } from '../common/limits/TrialLeases.js'
 import { PartEvidence } from '../common/routing/PartEvidence.js'
 import { sharedParts } from '../common/routing/PromptPlacement.js'
-import type { Endpoint, Prompt } from '../common/routing/Types.js'
+import { endpointKey, type Endpoint, type Prompt } from '../common/routing/Types.js'
 import type { IClock, IRandom } from '../common/Services.js'
 import type { ConnectProbe } from '../router/engines/ConnectProbe.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { CrashGossipTask } from './CrashGossipTask.js'
-import { CrashWatch } from './CrashWatch.js'
+import { CrashWatch, WATCH_MS, type IEndpointConnections } from './CrashWatch.js'
 import type { IGossipPeers } from './Peers.js'
 import type { Permit } from './PermitTask.js'
 
@@ -45,8 +45,11 @@
     this.#clock = clock
     this.#log = log
     this.#requestTrial = requestTrial
-    this.#watch = this.own(new CrashWatch(clock, probe, (...crash) => this.#recordCrash(...crash)))
-    this.#gossip = this.own(new CrashGossipTask(peers, clock, random, this.#evidence, news => this.#apply(news)))
+    this.#watch = this.own(new CrashWatch(clock, probe, {
+      onCrash: (...crash) => this.#recordCrash(...crash),
+      onUnconfirmed: (...close) => this.#recordUnconfirmed(...close)
+    }))
+    this.#gossip = this.own(new CrashGossipTask(peers, clock, random, this.#evidence, news => this.#learn(news)))
   }
 
   /** True once the evidence of the peers is known. */
@@ -86,13 +89,14 @@
   }
 
   /** Records that an engine closed the connection when its answer to the prompt was young. */
-  recordClose (endpoint: Endpoint, prompt: Prompt): void {
-    this.#watch.recordClose(endpoint, partHashes(prompt))
+  recordClose (endpoint: Endpoint, prompt: Prompt, connections?: IEndpointConnections): void {
+    this.#watch.recordClose(endpoint, partHashes(prompt), connections)
   }
 
   /** Records that an endpoint is gone from the list. */
   recordGone (endpoint: Endpoint): void {
     this.#watch.recordGone(endpoint)
+    if (!this.#evidence.isEmpty) this.#applyOwn(this.#evidence.confirmCrash(hashString(endpointKey(endpoint)), this.#clock.nowMs(), WATCH_MS))
   }
 
   /** Records an answer to the prompt that was whole, or went on for long enough. */
@@ -107,6 +111,21 @@
     this.#applyOwn(news)
   }
 
+  #recordUnconfirmed (parts: readonly number[], endpoint: number, id: string, ageMs: number): void {
+    const news = this.#evidence.recordClose(parts, endpoint, ageMs, this.#clock.nowMs())
+    if (news.length === 0) return
+    this.#log.info({ step: 'prompts', endpoint: id, parts, news: news.length }, 'endpoint broke off young answers and accepts connections')
+    this.#applyOwn(news)
+  }
+
+  /** Applies what peers told; closes that they saw are compared with those of this instance. */
+  #learn (news: readonly PartCrash[]): void {
+    this.#apply(news)
+    const now = this.#clock.nowMs()
+    const closes = new Map(news.filter(crash => crash.unconfirmed === true && !crash.refuted).map(({ endpoint, ageMs }) => [endpoint, now - ageMs]))
+    for (const [endpoint, at] of closes) this.#watch.recordPeerClose(endpoint, at)
+  }
+
   #applyOwn (news: readonly PartCrash[]): void {
     this.#apply(news)
     this.#gossip.spread(news)
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -175,7 +175,7 @@
     const { prompt } = this.#context.request
     if (prompt === undefined) return
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)) this.#recordSound()
-    else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt)
+    else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt, state.agent)
   }
 
   #recordSound (): void {
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -2,13 +2,15 @@
 import { timingSafeEqual } from 'node:crypto'
 import { decode, encode } from '@msgpack/msgpack'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, CrashDatagram, GossipDatagram, GossipedLimit, HolderDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
+import type { AllowanceDatagram, CrashDatagram, GossipDatagram, GossipedLimit, HolderDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PartCrash, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
 import { checkPeerDatagram, formatErrors } from '../../common/Schema.js'
 import { hmac } from './Crypto.js'
 
 const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news', 'askHolder', 'tellHolder', 'findHolder', 'copyHolder', 'askCrashes', 'tellCrashes'] as const
 const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
 const MAC_BYTES = 12
+const UNCONFIRMED = 2
+const UNCONFIRMED_REFUTED = 3
 const COUNT_SCALE = 10 // decayed counts are encoded in tenths
 
 type Row = readonly unknown[]
@@ -43,17 +45,28 @@
       return holderRow(kind, datagram)
     case 'askCrashes':
     case 'tellCrashes':
-      return [kind, datagram.id, datagram.complete, datagram.crashes.flatMap(c => [c.part, c.endpoint, Math.round(c.ageMs), c.refuted])]
+      return [kind, datagram.id, datagram.complete, datagram.crashes.flatMap(c => [c.part, c.endpoint, Math.round(c.ageMs), crashFlags(c)])]
   }
 }
 
+/** A boolean for a confirmed crash, which instances of the version before read as well; else a number, which they drop. */
+function crashFlags ({ refuted, unconfirmed }: PartCrash): number | boolean {
+  if (unconfirmed !== true) return refuted
+  return refuted ? UNCONFIRMED_REFUTED : UNCONFIRMED
+}
+
+function crashFlagsOf (flags: unknown): Pick<PartCrash, 'refuted' | 'unconfirmed'> {
+  const isUnconfirmed = flags === UNCONFIRMED || flags === UNCONFIRMED_REFUTED
+  return isUnconfirmed ? { refuted: flags === UNCONFIRMED_REFUTED, unconfirmed: true } : { refuted: flags as boolean }
+}
+
 function crashesOf (kind: CrashDatagram['kind'], row: Row): CrashDatagram {
   const [, id, complete, flat] = row
   const values = flat as ReadonlyArray<number | boolean>
   const crashes = []
   for (let i = 0; i + 3 < values.length; i += 4) {
-    const [part, endpoint, ageMs, refuted] = values.slice(i, i + 4)
-    crashes.push({ part, endpoint, ageMs, refuted })
+    const [part, endpoint, ageMs, flags] = values.slice(i, i + 4)
+    crashes.push({ part, endpoint, ageMs, ...crashFlagsOf(flags) })
   }
   return { kind, id, complete, crashes } as CrashDatagram
 }
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -46,7 +46,9 @@
     kind: fc.constantFrom('askCrashes' as const, 'tellCrashes' as const),
     id: name,
     complete: fc.boolean(),
-    crashes: fc.array(fc.record({ part: count, endpoint: count, ageMs: count, refuted: fc.boolean() }), { maxLength: 64 })
+    crashes: fc.array(fc.record({ part: count, endpoint: count, ageMs: count, refuted: fc.boolean(), unconfirmed: fc.constant(true) }, {
+      requiredKeys: ['part', 'endpoint', 'ageMs', 'refuted']
+    }), { maxLength: 64 })
   })
 )
 
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -50,6 +50,8 @@
   readonly onFatalRequest?: () => void
   /** Called when the worker has ended by the fatal part. */
   readonly onCrash?: () => void
+  /** Ends the process of the worker in place of its server alone. */
+  readonly endProcess?: () => void
   /** Time from a request to its answer or first event, in ms; none by default. */
   readonly workMs?: number
   /** Time between events of a stream, in ms; none by default. */
@@ -106,6 +108,12 @@
     this.#port = (this.#server.address() as AddressInfo).port
   }
 
+  /** Serves a connection that another process has accepted. */
+  serve (socket: Socket): void {
+    this.#server.emit('connection', socket)
+    socket.resume()
+  }
+
   /** Refuses new connections; open ones go on. */
   stopListening (): void {
     this.#server.close()
@@ -206,6 +214,7 @@
   }
 
   #crash (): void {
+    this.#options.endProcess?.()
     if (!this.#server.listening) return
     this.close()
     this.#options.onCrash?.()
