Suspect a part when five engines end together

Callers saw: when requests with a fatal part arrived at all engines at once, and again when the engines were back, the second such burst ended engines as the first one had: six engine processes, three bursts 3.5 s apart: 7 requests reached engines later than 3 s after the fifth crash, 3 are allowed.

Cause: engines that end within 100 ms of each other count as one crash, however many, as a power cut may be the cause.

Change: five or more that end so make the part suspect: one request at a time in the fleet until an answer on it is whole. What a power cut costs is bounded by that answer; up to four still count once, as before. The test of the bursts fails without the change (7 > 3) and passes with it.

--- a/src/common/routing/PartEvidence.test.ts
+++ b/src/common/routing/PartEvidence.test.ts
@@ -57,6 +57,17 @@
     expect([news.length, stateOf(evidence, FATAL)]).toEqual([3, 'blocked'])
   })
 
+  // Six requests with the part that arrived together ended all engines, and counted as one crash each time.
+  it('suspects a part when five engines end together, until an answer on it is whole', () => {
+    const evidence = evidenceOf([[FATAL, 1], [FATAL, 1], [FATAL, 1], [FATAL, 1], [FATAL, 1]], 15)
+    const before = stateOf(evidence, 1)
+    evidence.recordSound([1], 1_000)
+    evidence.recordCrash([FATAL], 6, 0, 2_000)
+    const next = stateOf(evidence, FATAL)
+    evidence.recordCrash([FATAL], 7, 0, 3_000)
+    expect([before, stateOf(evidence, 1), next, stateOf(evidence, FATAL)]).toEqual(['suspect', 'sound', 'suspect', 'blocked'])
+  })
+
   it('holds nothing against a part with a whole answer since, whichever instance saw it first', () => {
     const evidence = evidenceOf([[FATAL, 1], [FATAL, 1], [FATAL, 1]])
     const stale = evidence.reports(64, 2_000)
--- a/src/common/routing/PartEvidence.ts
+++ b/src/common/routing/PartEvidence.ts
@@ -12,8 +12,8 @@
 const EPISODE_MS = 100 // engines that end within this time of each other may have one cause outside of the prompt, and count once
 const SUSPECT_EPISODES = 2
 const BLOCKED_EPISODES = 3
-const SUSPECT_ENGINES = 5 // engines that broke off answers, without a proof that they ended, from which a part is suspect
-const BLOCKED_ENGINES = 6 // the same, from which it is blocked
+const SUSPECT_ENGINES = 5 // engines that ended together, or broke off answers without a proof that they ended, from which a part is suspect
+const BLOCKED_ENGINES = 6 // engines that broke off answers at different times, without a proof that they ended, from which it is blocked
 const FIRST_TRIAL_MS = 20_000 // from the last crash of a blocked part to the next trial
 const TRIAL_BACKOFF = 4 // factor of that time for each trial that ended an engine
 const MAX_TRIAL_MS = 3_600_000
@@ -265,7 +265,7 @@
 function effectiveEpisodes (crashes: readonly Crash[]): number {
   const confirmed = crashes.filter(crash => crash.confirmed)
   const all = countEpisodes(crashes)
-  const isSuspect = crashes.length >= SUSPECT_ENGINES && all >= SUSPECT_EPISODES
+  const isSuspect = confirmed.length >= SUSPECT_ENGINES || (crashes.length >= SUSPECT_ENGINES && all >= SUSPECT_EPISODES)
   const isBlocked = crashes.length >= BLOCKED_ENGINES && all >= BLOCKED_EPISODES
   return Math.max(countEpisodes(confirmed), isBlocked ? BLOCKED_EPISODES : isSuspect ? SUSPECT_EPISODES : 0)
 }
--- a/src/platform/EngineProcess.test.ts
+++ b/src/platform/EngineProcess.test.ts
@@ -4,6 +4,8 @@
 import { join } from 'node:path'
 import { buildSync } from 'esbuild'
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest'
+import { hashString } from '../common/Hash.js'
+import { listOf } from '../common/TestUtils.test.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { WorkerSupervisor, type SupervisorOptions } from '../standin/WorkerSupervisor.js'
 import { freePort } from '../tools/FreePort.js'
@@ -13,6 +15,7 @@
 const ENGINES = 6
 const FATAL = 'bad0'
 const FATAL_INTERVAL_MS = 150
+const BURST_INTERVAL_MS = 3_500 // longer than `CONTACT_MS`
 const MAX_CRASHES = 5 // engines that the users allow one part to end
 const CONTACT_MS = 3_000 // time that instances have to learn of them
 const MAX_LATER_REQUESTS = 3 // requests with the part that may reach engines after that
@@ -69,6 +72,16 @@
     return await this.#send(i, ['aa', FATAL, `s${i}`])
   }
 
+  /** Sends a request with the fatal part to each engine at once. */
+  async sendFatalToAll (): Promise<void> {
+    const engines = listOf(this.#engines.map(engine => engine.id))
+    await Promise.all(this.#engines.map(async (engine, i) => {
+      let session = this.#fatalRequests++
+      while (engines.first(hashString(`s${session}`)) !== engine.id) session = this.#fatalRequests++
+      await this.#send(i, ['aa', FATAL, `s${session}`])
+    }))
+  }
+
   /** Sends a request that shares the template and the caller with the fatal ones. */
   async sendSound (): Promise<CallResult> {
     const i = this.#soundRequests++
@@ -115,14 +128,14 @@
 afterEach(() => site.stop())
 afterAll(() => rmSync(dir, { recursive: true }))
 
-/** Sends fatal requests beside sound ones for `forMs`; returns the statuses of the sound ones of the last third. */
-async function sendBoth (forMs: number): Promise<number[]> {
+/** Sends fatal requests beside sound ones for `forMs`; returns the statuses of the sound ones of the last third. @param fatal fatal requests each time. */
+async function sendBoth (forMs: number, fatal = 1): Promise<number[]> {
   const sound: number[] = []
   const pending: Array<Promise<unknown>> = []
   const start = performance.now()
   while (performance.now() - start < forMs) {
     const isLast = performance.now() - start > forMs * 2 / 3
-    pending.push(site.sendFatal())
+    for (let i = 0; i < fatal; i++) pending.push(site.sendFatal())
     for (let i = 0; i < 2; i++) pending.push(site.sendSound().then(answer => { if (isLast) sound.push(answer.status) }))
     await sleep(FATAL_INTERVAL_MS)
   }
@@ -144,4 +157,12 @@
     expect(site.laterRequests).toBeLessThanOrEqual(MAX_LATER_REQUESTS)
     expect(sound).toEqual(sound.map(() => 200))
   })
+
+  // Engines that ended together counted as one crash, however many: the next six requests ended all engines again.
+  it('is kept from engines when it ends all of them at once, again and again', async () => {
+    site = new EngineSite({ listener: 'child', restartMs: 500, listDelayMs: 100 })
+    await site.start()
+    for (let i = 0; i < 3; i++) await Promise.all([sendBoth(BURST_INTERVAL_MS, 0), site.sendFatalToAll()])
+    expect(site.laterRequests).toBeLessThanOrEqual(MAX_LATER_REQUESTS)
+  })
 })
