Decode evacuation's bound, regions and warm-up from settings and configuration

The adapter reads what the operator publishes; nothing uses it yet. A list of regions that can't be read allows none, a warm-up time that can't be read is unknown rather than 0, as no missing value may count in our own favour.

--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -32,6 +32,8 @@
   readonly priority: number
   /** True when the route requires no key. */
   readonly open: boolean
+  /** Regions whose endpoints may serve the route; undefined when all may. */
+  readonly allowedRegions?: readonly string[] | undefined
 }
 
 /** A client account and its keys. */
@@ -40,6 +42,8 @@
   readonly keys: readonly string[]
   /** Takes precedence over the route's priority. */
   readonly priority: number | undefined
+  /** Regions whose endpoints may serve the account; undefined when all may. Binds beside the route's. */
+  readonly allowedRegions?: readonly string[] | undefined
 }
 
 /** Capacity of a model engine. */
@@ -49,6 +53,14 @@
   readonly memoryTokens: number
 }
 
+/** What the endpoints of a service take while they warm up. */
+export interface WarmUpLimit {
+  /** Time that an endpoint warms up after its start. */
+  readonly durationMs: number
+  /** Requests a second that it takes during that time from all instances together. */
+  readonly requestsPerSec: number
+}
+
 /** A service that routes refer to, with the properties that its endpoints have in common. */
 export interface Service {
   readonly id: string
@@ -57,6 +69,8 @@
   readonly maxConnections: number
   /** Present when the endpoints are model engines. */
   readonly engine: EngineSize | undefined
+  /** Present when endpoints take fewer requests while they warm up. */
+  readonly warmUp?: WarmUpLimit | undefined
 }
 
 /** Size limits and timeouts for requests of callers. */
@@ -89,8 +103,8 @@
   readonly leaving: boolean
   /** Distinguishes restarts under the same id; 0 when unknown. */
   readonly startedAtMs: number
-  /** Remaining warm-up time after its start, during which it is slow. */
-  readonly warmUpMs: number
+  /** Remaining time of its warm-up, during which it is slow; undefined when the record doesn't say. */
+  readonly warmUpMs?: number | undefined
 }
 
 /** Snapshot of the complete list of endpoints. */
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -61,6 +61,10 @@
   readonly retryWindowMs: number
   /** Memory that the process may take. */
   readonly memoryBytes: number
+  /** Longest time until an evacuated data centre gets no more requests; undefined where none is ever evacuated. */
+  readonly evacuationMs?: number | undefined
+  /** Region of each data centre. */
+  readonly regions?: ReadonlyMap<string, string>
 }
 
 export class Gateway extends Disposable {
--- a/src/platform/Platform.test.ts
+++ b/src/platform/Platform.test.ts
@@ -47,6 +47,7 @@
     expect(odd.map(value => parseEndpoint(item('servers/i-1', value)))).toEqual(odd.map(() => undefined))
     expect(['a\r\nb', 'ñ', 'a b', 'x'.repeat(201)].map(id => parseEndpoint(item(`servers/${id}`, entry)))).toEqual(Array(4).fill(undefined))
     expect(parseEndpoint(item('servers/i-1', { ...entry, cold_left_ms: 1e308 }))?.warmUpMs).toBe(86_400_000)
+    expect(parseEndpoint(item('servers/i-1', { ...entry, cold_left_ms: 'soon' }))?.warmUpMs).toBeUndefined()
     const deep = `${JSON.stringify(entry).slice(0, -1)},"x":${'['.repeat(200_000)}${']'.repeat(200_000)}}`
     expect([parseEndpoint(item('servers/i-1', deep)), parseEndpoint(item('servers/i-1', entry))].map(e => e?.port)).toEqual([8080, 8080])
   })
@@ -72,6 +73,7 @@
       {
         "accounts": [
           {
+            "allowedRegions": undefined,
             "id": "looms",
             "keys": [
               "k1",
@@ -89,6 +91,7 @@
         "revision": 7,
         "routes": [
           {
+            "allowedRegions": undefined,
             "eventPauseGoalMs": 400,
             "host": "a.example",
             "idempotent": false,
@@ -122,12 +125,25 @@
             "healthPath": "/healthz",
             "id": "p",
             "maxConnections": 822,
+            "warmUp": undefined,
           },
         ],
       }
     `)
     expect([parseConfig(item('op/config', '{')), parseConfig(item('op/config', { routes: [] }))]).toEqual([undefined, undefined])
   })
+
+  // A list that can't be read must not open a region: an account's data would leave it.
+  it.each([[undefined, undefined], [[], undefined], [['north'], ['north']], ['north', []], [[3], []], [{}, []]])('decodes allowed regions %j as %j', (allowed, expected) => {
+    const routes = [{ host: 'a', path_prefix: '/x/', service: 'p', allowed_regions: allowed }]
+    const config = parseConfig(item('op/config', { version: 1, routes, tenants: [{ name: 'looms', api_keys: [], allowed_regions: allowed }] }))
+    expect([config?.routes[0]?.allowedRegions, config?.accounts?.[0]?.allowedRegions]).toEqual([expected, expected])
+  })
+
+  it('decodes the warm-up of a service that has a rate for it', () => {
+    const services = [{ name: 'p', cold_s: 3, cold_per_s: 12 }, { name: 'q', cold_s: 3, cold_per_s: 0 }, { name: 'r' }]
+    expect(parseConfig(item('op/config', { version: 1, services }))?.services.map(s => s.warmUp)).toEqual([{ durationMs: 3_000, requestsPerSec: 12 }, undefined, undefined])
+  })
 })
 
 describe('RequestCodec', () => {
@@ -272,6 +288,7 @@
             "port": 8227,
           },
           "dataCentre": "a",
+          "evacuationMs": undefined,
           "graceMs": 9000,
           "id": "edge-1",
           "memoryBytes": 268435456,
@@ -286,6 +303,7 @@
             "port": 8220,
           },
           "readinessPath": "/v1/readyz",
+          "regions": Map {},
           "retryBurst": 20,
           "retryRatio": 0.2,
           "retryWindowMs": 10000,
@@ -302,6 +320,12 @@
     `)
   })
 
+  it('have the bound of an evacuation and the regions of data centres where the platform states them', () => {
+    const more = { zones: { a: 'north', b: 'south', c: 3 }, bounds: { evacuation_ms: 5_000 } }
+    const { evacuationMs, regions } = parseSettings(JSON.stringify({ ...file, ...more }), 'f')._unsafeUnwrap().gateway
+    expect([evacuationMs, [...regions ?? []]]).toEqual([5_000, [['a', 'north'], ['b', 'south']]])
+  })
+
   it('name a missing field in the error', () => {
     const { zone, ...rest } = file
     expect([parseSettings('{', 'f')._unsafeUnwrapErr().reason.startsWith('not JSON'), parseSettings(JSON.stringify(rest), 'f')._unsafeUnwrapErr()]).toMatchInlineSnapshot(`
--- a/src/platform/Records.ts
+++ b/src/platform/Records.ts
@@ -1,12 +1,16 @@
 /** Decodes the records that the operator and the endpoints publish in the store. Malformed records decode to undefined. */
 import { isIPv4 } from 'node:net'
-import type { Account, CallerLimits, Endpoint, Route, RouteTarget, RoutingConfig, Service } from '../common/routing/Types.js'
+import type { Account, CallerLimits, Endpoint, Route, RouteTarget, RoutingConfig, Service, WarmUpLimit } from '../common/routing/Types.js'
 import type { StoreItem } from './StoreClient.js'
 
 /** Key of the configuration in the store. */
 export const CONFIG_KEY = 'op/config'
 /** Prefix of the endpoints' keys in the store; the rest of a key is the endpoint's id. */
 export const ENDPOINT_PREFIX = 'servers/'
+/** Prefix of all that the operator writes. */
+export const OPERATOR_PREFIX = 'op/'
+/** Prefix of the keys by which the operator evacuates data centres; the rest of a key is the data centre. */
+export const EVACUATION_PREFIX = 'op/evacuate/'
 
 const DEFAULT_TIMEOUT_MS = 30_000
 const DEFAULT_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
@@ -78,10 +82,23 @@
     eventPauseGoalMs: asDurationMs(f.itl_target_ms) ?? 0,
     maxAttempts: asNumber(f.max_attempts) ?? 1,
     priority: asNumber(f.priority) ?? 5,
-    open: f.public === true
+    open: f.public === true,
+    allowedRegions: parseRegions(f.allowed_regions)
   }
 }
 
+/** Regions that a list allows: undefined, for all, when there is no list or an empty one; none when the list can't be read. */
+function parseRegions (value: unknown): readonly string[] | undefined {
+  if (value === undefined || value === null || (Array.isArray(value) && value.length === 0)) return undefined
+  return Array.isArray(value) && value.every(region => typeof region === 'string') ? value : []
+}
+
+function parseWarmUp (f: Fields): WarmUpLimit | undefined {
+  const requestsPerSec = asNumber(f.cold_per_s) ?? 0
+  const durationMs = asDurationMs((asNumber(f.cold_s) ?? 0) * 1_000) ?? 0
+  return requestsPerSec > 0 ? { durationMs, requestsPerSec } : undefined
+}
+
 function parseService (f: Fields): Service | undefined {
   const id = asString(f.name)
   if (id === undefined) return undefined
@@ -90,14 +107,15 @@
     id,
     healthPath: asString(f.health_path) ?? '/healthz',
     maxConnections: asNumber(f.max_conns) ?? Infinity,
-    engine: engine === undefined ? undefined : { slots: asNumber(engine.slots) ?? 1, memoryTokens: asNumber(engine.kv_capacity) ?? 0 }
+    engine: engine === undefined ? undefined : { slots: asNumber(engine.slots) ?? 1, memoryTokens: asNumber(engine.kv_capacity) ?? 0 },
+    warmUp: parseWarmUp(f)
   }
 }
 
 function parseAccount (f: Fields): Account | undefined {
   const id = asString(f.name)
   const keys = Array.isArray(f.api_keys) ? f.api_keys.filter(k => typeof k === 'string') : []
-  return id === undefined ? undefined : { id, keys, priority: asNumber(f.priority) }
+  return id === undefined ? undefined : { id, keys, priority: asNumber(f.priority), allowedRegions: parseRegions(f.allowed_regions) }
 }
 
 function parseLimits (f: Fields | undefined): CallerLimits {
@@ -144,6 +162,6 @@
     slots,
     leaving: f.state === 'draining',
     startedAtMs: startedAtMs as number,
-    warmUpMs: asDurationMs(f.cold_left_ms) ?? 0
+    warmUpMs: asDurationMs(f.cold_left_ms)
   }
 }
--- a/src/platform/Settings.ts
+++ b/src/platform/Settings.ts
@@ -42,6 +42,8 @@
   readonly listen: { readonly frontend: string, readonly readiness: string }
   readonly platform: { readonly address: string }
   readonly limits?: { readonly memory_mb?: number }
+  /** Region of each data centre. */
+  readonly zones?: Readonly<Record<string, unknown>>
   readonly bounds?: Readonly<Record<string, number | boolean | undefined>>
 }
 
@@ -55,6 +57,18 @@
   return typeof value === 'number' && value >= 0 ? value : defaultValue
 }
 
+/** Value of a bound that is absent where the deployment doesn't have what it bounds. */
+function optionalBound (file: SettingsFile, name: string): number | undefined {
+  const value = file.bounds?.[name]
+  return typeof value === 'number' && value > 0 ? value : undefined
+}
+
+/** Regions by data centre; entries that aren't texts are left out. */
+function parseRegions (zones: unknown): ReadonlyMap<string, string> {
+  const entries = typeof zones === 'object' && zones !== null ? Object.entries(zones) : []
+  return new Map(entries.filter((entry): entry is [string, string] => typeof entry[1] === 'string'))
+}
+
 function missingField (file: Partial<SettingsFile>): string | undefined {
   const texts: Record<string, unknown> = {
     node_name: file.node_name, ip: file.ip, zone: file.zone, 'listen.frontend': file.listen?.frontend, 'listen.readiness': file.listen?.readiness, 'platform.address': file.platform?.address
@@ -87,6 +101,8 @@
     retryRatio: boundOrDefault(file, 'retry_budget_ratio', DEFAULT_RETRY_RATIO),
     retryBurst: boundOrDefault(file, 'retry_burst', DEFAULT_RETRY_BURST),
     retryWindowMs: boundOrDefault(file, 'budget_window_s', DEFAULT_RETRY_WINDOW_SEC) * 1_000,
+    evacuationMs: optionalBound(file, 'evacuation_ms'),
+    regions: parseRegions(file.zones),
     memoryBytes: (file.limits?.memory_mb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB
   }
   return ok({ gateway, store: parseAddress(file.platform.address), drainMs: boundOrDefault(file, 'drain_ms', DEFAULT_DRAIN_MS) })
