Let a scope exclude data centres from all choices for a request

Evacuation and allowed regions both need data centres that are never taken, where an unreachable one is still a last resort. The scope of a choice becomes one object. Nothing sets the new condition yet.

--- a/src/common/routing/Candidates.ts
+++ b/src/common/routing/Candidates.ts
@@ -8,6 +8,11 @@
   readonly tried: ReadonlySet<string>
   /** False for data centres that can't be connected to. */
   readonly isReachable: (dataCentre: string) => boolean
+  /**
+   * False for data centres that may not get the request, not as a last resort either; all may when it is absent.
+   * @param isHolder true when the endpoint holds the prompt of the request's session.
+   */
+  readonly isAllowed?: (dataCentre: string, isHolder: boolean) => boolean
 }
 
 /** A view of a group at one time; nothing is computed before it is asked for. */
@@ -27,40 +32,55 @@
     return this.#group.members.length
   }
 
-  /** The endpoint with this hash, if it is a candidate and not ejected. */
+  /** The endpoint with this hash, which holds the prompt of the request's session, if it is a candidate and not ejected. */
   get (hash: number): EndpointState | undefined {
     const state = this.#group.get(hash)
-    return state !== undefined && this.#isAvailable(state) ? state : undefined
+    return state !== undefined && this.#isAvailable(state, true) ? state : undefined
   }
 
   /** The first `count` candidates in the order of a key that aren't ejected; those in unreachable data centres only when no other is left. */
   rank (keyHash: number, count: number, accepts?: (state: EndpointState) => boolean): EndpointState[] {
     const ranked = this.#group.rank(keyHash, count, e => this.#isAvailable(e) && accepts?.(e) !== false)
-    if (ranked.length > 0 || accepts !== undefined || this.#group.members.some(e => this.#isUntried(e) && this.#isReachable(e))) return ranked
-    return this.#group.rank(keyHash, count, e => this.#isUntried(e) && this.#takesRequests(e))
+    if (ranked.length > 0 || accepts !== undefined || this.#group.members.some(e => this.#isEligible(e) && this.#isReachable(e))) return ranked
+    return this.#group.rank(keyHash, count, e => this.#isEligible(e) && this.#takesRequests(e))
   }
 
   /** Mean load of the endpoints in reachable data centres. */
   meanLoad (): number {
-    return this.#group.meanLoad(this.#now, this.#filter.isReachable)
+    return this.#group.meanLoad(this.#now, dataCentre => this.#filter.isReachable(dataCentre) && this.#isAllowed(dataCentre, false))
   }
 
   /** The endpoint whose ejection ends first, for when all are ejected: a trial request there is preferable to rejecting the request. */
   firstToReadmit (): EndpointState | undefined {
-    const untried = this.#group.members.filter(e => this.#isUntried(e) && isOpen(e, this.#now))
-    const reachable = untried.filter(e => this.#isReachable(e))
-    return (reachable.length > 0 ? reachable : untried).reduce<EndpointState | undefined>(
+    const eligible = this.#group.members.filter(e => this.#isEligible(e) && isOpen(e, this.#now))
+    const reachable = eligible.filter(e => this.#isReachable(e))
+    return (reachable.length > 0 ? reachable : eligible).reduce<EndpointState | undefined>(
       (best, e) => best === undefined || e.health.ejectedUntil < best.health.ejectedUntil ? e : best, undefined)
   }
 
   /** Time in ms until an endpoint at its limit, or in a pause, may take a further request; undefined when there is none. */
   openWaitMs (): number | undefined {
-    const waits = this.#group.members.filter(e => e.isDeferred(this.#now) && !e.isLeaving).map(e => e.opensAt - this.#now)
+    const deferred = this.#group.members.filter(e => this.#isAllowed(e.endpoint.dataCentre, false) && e.isDeferred(this.#now) && !e.isLeaving)
+    const waits = deferred.map(e => e.opensAt - this.#now)
     return waits.length === 0 ? undefined : Math.min(...waits)
   }
 
-  #isAvailable (state: EndpointState): boolean {
-    return this.#isUntried(state) && this.#takesRequests(state) && this.#isReachable(state)
+  /** True when some endpoints may not get the request, as their data centres aren't allowed. */
+  get isRestricted (): boolean {
+    return this.#group.members.some(e => !this.#isAllowed(e.endpoint.dataCentre, false))
+  }
+
+  #isAvailable (state: EndpointState, isHolder = false): boolean {
+    return this.#isEligible(state, isHolder) && this.#takesRequests(state) && this.#isReachable(state)
+  }
+
+  /** True for an endpoint that the request wasn't sent to and may be sent to. */
+  #isEligible (state: EndpointState, isHolder = false): boolean {
+    return !this.#filter.tried.has(state.endpoint.id) && this.#isAllowed(state.endpoint.dataCentre, isHolder)
+  }
+
+  #isAllowed (dataCentre: string, isHolder: boolean): boolean {
+    return this.#filter.isAllowed?.(dataCentre, isHolder) !== false
   }
 
   /** True for an endpoint that isn't ejected and takes requests by its own word. */
@@ -68,10 +88,6 @@
     return state.health.isAvailable(this.#now) && isOpen(state, this.#now)
   }
 
-  #isUntried (state: EndpointState): boolean {
-    return !this.#filter.tried.has(state.endpoint.id)
-  }
-
   #isReachable (state: EndpointState): boolean {
     return this.#filter.isReachable(state.endpoint.dataCentre)
   }
--- a/src/common/routing/EndpointGroup.test.ts
+++ b/src/common/routing/EndpointGroup.test.ts
@@ -60,4 +60,16 @@
     expect(ranked(() => false)).toEqual(['e0', 'e1', 'e2'])
     expect(ranked(dc => dc === 'dc1', 'e1')).toEqual(['e0', 'e2'])
   })
+
+  // A data centre that may not be used must not come back as a last resort, as an unreachable one does.
+  it('never takes a data centre that is not allowed, except for the holder of a session', () => {
+    const group = new EndpointGroup([engine(0), engine(1), engine(2)])
+    const of = (allowed: string): Candidates =>
+      new Candidates(group, { tried: new Set(['e0']), isReachable: () => false, isAllowed: (dataCentre, isHolder) => dataCentre === allowed || isHolder }, 0)
+    const taken = ['dc0', 'dc1', 'none'].map(allowed => {
+      const candidates = of(allowed)
+      return [candidates.rank(1, 9).map(e => e.endpoint.id), candidates.firstToReadmit()?.endpoint.id, candidates.isRestricted]
+    })
+    expect(taken).toEqual([[[], undefined, true], [['e1'], 'e1', true], [[], undefined, true]])
+  })
 })
--- a/src/gateway/EndpointPool.test.ts
+++ b/src/gateway/EndpointPool.test.ts
@@ -97,7 +97,7 @@
     const pool = createPool(20)
     const tried = new Set<string>()
     const placed = Array.from({ length: 6 }, (_, session) => {
-      const { endpoint } = placePrompt(session, undefined, pool.candidates('engines', tried, 'dc1'), NOW)!.state
+      const { endpoint } = placePrompt(session, undefined, pool.candidates('engines', { tried, only: 'dc1' }), NOW)!.state
       tried.add(endpoint.id)
       return endpoint.dataCentre
     })
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -16,6 +16,14 @@
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
 
+/** What narrows the choice among the endpoints of a service for one request. */
+export interface PlacementScope {
+  /** Ids of endpoints to which the request was sent before. */
+  readonly tried?: ReadonlySet<string>
+  /** Data centre outside of which no endpoint is taken while it has one left. */
+  readonly only?: string | undefined
+}
+
 /** State of an endpoint with its connections. */
 export class PooledEndpoint extends EndpointState {
   readonly agent = new EndpointAgent()
@@ -171,8 +179,8 @@
     return this.#group(state.endpoint.service).othersFailureRate(state, this.#clock.nowMs())
   }
 
-  /** Endpoints of a service that accept new requests, except those in `tried`. @param only data centre outside of which none is taken while it has one left. */
-  candidates (service: string, tried: ReadonlySet<string> = NONE_TRIED, only?: string): Candidates {
+  /** Endpoints of a service that accept new requests of this scope. */
+  candidates (service: string, { tried = NONE_TRIED, only }: PlacementScope = {}): Candidates {
     const now = this.#clock.nowMs()
     const isReachable = (dataCentre: string): boolean => (only === undefined || dataCentre === only) && !this.#reachability.isEjected(dataCentre, now)
     return new Candidates(this.#group(service), { tried, isReachable }, now)
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -103,6 +103,6 @@
   /** After connections to several endpoints failed, those of the own data centre: this one may be cut off from the others. */
   #candidates (): Candidates {
     const { pool, dataCentre } = this.#services
-    return pool.candidates(this.#service, this.#tried, this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre)
+    return pool.candidates(this.#service, { tried: this.#tried, only: this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre })
   }
 }
