Read evacuations with the configuration

Where the settings name the bound of an evacuation, the configuration's reader watches all that the operator writes and reads its range where it read the key: one call for both. Events of the watch, deletions now among them, are applied to the last complete read, so that a receiver only gets complete sets. An answer with entries that can't be read takes nothing away. An answer of another epoch confirms neither the configuration nor the set. Without the bound the key alone is read and watched, as before.

The gateway holds the set, logs each evacuation that begins or ends, and isn't ready before it knows a set. Nothing follows from it yet.

Test of the readers' backoff: also run where evacuations are followed.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -4,6 +4,7 @@
 import { SharedRetryBudget, type IFleetView, type RetryLimits } from '../common/limits/SharedRetryBudget.js'
 import { hashString } from '../common/Hash.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
+import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import type { ViewVersion } from '../common/peers/ViewVersion.js'
 import { acceptMs } from '../common/routing/DrainWindow.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
@@ -14,6 +15,7 @@
 import { ConfigHolder } from './ConfigHolder.js'
 import { EndpointLimiter, shareOf } from './EndpointLimiter.js'
 import { EndpointPool } from './EndpointPool.js'
+import { EvacuationHolder } from './EvacuationHolder.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import { GossipTask, type IGossipHost } from './GossipTask.js'
 import { MembershipTask } from './MembershipTask.js'
@@ -73,6 +75,8 @@
   readonly #log: Log
   readonly #metrics: GatewayMetrics
   readonly #config: ConfigHolder
+  /** Undefined where data centres are never evacuated. */
+  readonly #evacuations: EvacuationHolder | undefined
   readonly #pool: EndpointPool
   readonly #callerServer: CallerServer
   readonly #statusServers: StatusServer[]
@@ -90,6 +94,8 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
+    const { evacuationMs } = settings
+    this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
     this.#pool = this.own(new EndpointPool(clock, log))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
@@ -131,7 +137,8 @@
 
   /** True when the load balancer should send callers to this gateway. */
   get ready (): boolean {
-    return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#promptGuard.isReady
+    const knowsPlatform = this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#evacuations?.isKnown !== false
+    return !this.#stopping && knowsPlatform && this.#promptGuard.isReady
   }
 
   /** Revision of the configuration in force; 0 before the first. */
@@ -147,6 +154,17 @@
   /** Records that the platform has no newer configuration than the one that was read last. */
   confirmConfig (): void {
     this.#config.confirm()
+    this.#evacuations?.confirm(0)
+  }
+
+  /** True where data centres may be evacuated. */
+  get followsEvacuations (): boolean {
+    return this.#evacuations !== undefined
+  }
+
+  /** Applies the evacuations that were read from the platform. @param ageMs time since the read began. */
+  updateEvacuations (dataCentres: readonly string[], version: ListVersion, ageMs: number): void {
+    this.#evacuations?.update(dataCentres, version, ageMs)
   }
 
   /** Applies a list of endpoints that was read from the platform; returns false when it is older than the last one. @param ageMs time since the read began. */
--- a/src/platform/Records.ts
+++ b/src/platform/Records.ts
@@ -18,6 +18,8 @@
 const MAX_DURATION_MS = 86_400_000 // timers can't take much more than 24 days
 const MAX_SLOTS = 1_000_000
 const MAX_PORT = 65_535
+const MAX_EVACUATIONS = 64 // as many as a datagram to peers may name
+const DATA_CENTRE = /^[\x21-\x7e]{1,63}$/ // as in datagrams to peers
 const ENDPOINT_ID = /^[\x21-\x7e]{1,200}$/ // it is sent in a header
 
 type Fields = Readonly<Record<string, unknown>>
@@ -127,6 +129,17 @@
   }
 }
 
+/** The data centre that a key evacuates; undefined for any other key, or one that names no data centre. The value says nothing. */
+export function parseEvacuation (key: string): string | undefined {
+  const dataCentre = key.startsWith(EVACUATION_PREFIX) ? key.slice(EVACUATION_PREFIX.length) : ''
+  return DATA_CENTRE.test(dataCentre) ? dataCentre : undefined
+}
+
+/** The evacuated data centres, as many as are kept. */
+export function limitEvacuations (dataCentres: Iterable<string>): readonly string[] {
+  return [...dataCentres].sort().slice(0, MAX_EVACUATIONS)
+}
+
 /** Decodes the configuration; undefined when it is malformed. */
 export function parseConfig (item: StoreItem): RoutingConfig | undefined {
   const f = parseJson(item.value)
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -44,4 +44,17 @@
     client.close()
     expect([list, watched]).toEqual(['history-gone', { items: [], version: { epoch: 3, revision: 4 } }])
   })
+
+  // Deletions were dropped, an entry that can't be read made a key look deleted.
+  it('tells deletions where they are asked for, the last change of each key, and that entries are missing', async () => {
+    const written = (key: string, revision: number): object => ({ ...item(key), revision })
+    const deleted = (key: string, revision: number): object => ({ key, revision, deleted: true })
+    const events = [deleted('a', 7), written('a', 6), written('b', 9), deleted('b', 8), deleted('c', 5)]
+    const client = await clientOf(
+      { epoch: '1', body: { at: 9, events } }, { epoch: '1', body: { at: 9, events: [null, deleted('a', 7)] } }, { epoch: '1', body: { at: 9, items: [null, item('a')] } }
+    )
+    const reads = [await client.watch('', 1, 1, true), await client.watch('', 1, 1, true), await client.range('')].map(read => read._unsafeUnwrap())
+    client.close()
+    expect(reads.map(({ items, deleted: gone, isPartial }) => [items.map(i => i.key), gone, isPartial])).toEqual([[['b'], ['c', 'a'], undefined], [[], ['a'], true], [['a'], undefined, true]])
+  })
 })
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -33,6 +33,18 @@
 export interface StoreRead {
   readonly items: readonly StoreItem[]
   readonly version: ListVersion
+  /** Keys that were deleted and not written again; only in the answer to a watch that asks for them. */
+  readonly deleted?: readonly string[]
+  /** Present when the answer had entries that can't be read, so that a key may be missing in it. */
+  readonly isPartial?: true
+}
+
+/** A change of one key. */
+interface StoreEvent {
+  readonly key: string
+  readonly revision: number
+  /** Undefined for a deletion. */
+  readonly item: StoreItem | undefined
 }
 
 /** Fields of the store's responses; `at` is the store's revision. */
@@ -62,6 +74,37 @@
   return Array.isArray(wire) ? wire.map(parseItem).filter(item => item !== undefined) : undefined
 }
 
+function parseEvent (wire: unknown): StoreEvent | undefined {
+  if (typeof wire !== 'object' || wire === null) return undefined
+  const { key, revision, deleted } = wire as { readonly key?: unknown, readonly revision?: unknown, readonly deleted?: unknown }
+  const item = deleted === true ? undefined : parseItem(wire)
+  if (typeof key !== 'string' || typeof revision !== 'number' || (item === undefined && deleted !== true)) return undefined
+  return { key, revision, item }
+}
+
+/** The last change of each key; events of one answer need not be in the order of their revisions. */
+function lastChanges (events: readonly StoreEvent[]): StoreEvent[] {
+  const ordered = [...events].sort((a, b) => a.revision - b.revision)
+  return [...new Map(ordered.map(event => [event.key, event])).values()]
+}
+
+/** Marks a read of which entries can't be read. */
+function partOf (wire: unknown, items: readonly StoreItem[]): Pick<StoreRead, 'isPartial'> {
+  return Array.isArray(wire) && wire.length > items.length ? { isPartial: true } : {}
+}
+
+/** Changes under a prefix, deletions included; undefined when there is no list of events. */
+function parseChanges (wire: unknown): Omit<StoreRead, 'version'> | undefined {
+  if (!Array.isArray(wire)) return undefined
+  const events = wire.map(parseEvent).filter(event => event !== undefined)
+  const last = lastChanges(events)
+  return {
+    items: last.map(({ item }) => item).filter(item => item !== undefined),
+    deleted: last.filter(({ item }) => item === undefined).map(({ key }) => key),
+    ...events.length < wire.length ? { isPartial: true } : {}
+  }
+}
+
 function lastKeyOf (items: unknown): string | undefined {
   const last: unknown = Array.isArray(items) ? items[items.length - 1] : undefined
   const key = typeof last === 'object' && last !== null ? (last as { readonly key?: unknown }).key : undefined
@@ -79,8 +122,8 @@
   key (key: string): Promise<Result<StoreRead, StoreError>>
   /** Reads all keys under a prefix, page by page; the version is that of the first page. */
   range (prefix: string): Promise<Result<StoreRead, StoreError>>
-  /** Waits for changes after a revision; an empty read means that there were none. Deletions are omitted. */
-  watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>>
+  /** Waits for changes after a revision; an empty read means that there were none. Deletions are omitted unless `withDeletions` is true. */
+  watch (prefix: string, after: number, waitMs: number, withDeletions?: boolean): Promise<Result<StoreRead, StoreError>>
 }
 
 export class StoreClient implements IStoreReads {
@@ -105,6 +148,7 @@
 
   async range (prefix: string): Promise<Result<StoreRead, StoreError>> {
     const items: StoreItem[] = []
+    let part: Pick<StoreRead, 'isPartial'> = {}
     let first: ListVersion | undefined
     let after = ''
     for (let page = 0; page < MAX_PAGES; page++) {
@@ -117,19 +161,21 @@
       const found = parseItems(body.items)
       if (found === undefined) return err(this.#error('malformed', 'no items'))
       items.push(...found)
+      part = { ...part, ...partOf(body.items, found) }
       const last = lastKeyOf(body.items)
-      if (body.has_more !== true || last === undefined) return ok({ items, version: first })
+      if (body.has_more !== true || last === undefined) return ok({ items, version: first, ...part })
       after = last
     }
     return err(this.#error('malformed', `more than ${MAX_PAGES} pages`))
   }
 
-  async watch (prefix: string, after: number, waitMs: number): Promise<Result<StoreRead, StoreError>> {
+  async watch (prefix: string, after: number, waitMs: number, withDeletions = false): Promise<Result<StoreRead, StoreError>> {
     const query = `path_prefix=${encodeURIComponent(prefix)}&after=${after}&wait_ms=${waitMs}`
     const response = await this.#get('watch', `/v1/kv-watch?${query}`, waitMs + WATCH_MARGIN_MS)
     return response.andThen(({ body, version }) => {
-      const items = parseItems(body.events)
-      return items === undefined ? err(this.#error('malformed', 'no events')) : ok({ items, version })
+      const items = withDeletions ? undefined : parseItems(body.events)
+      const changes = withDeletions ? parseChanges(body.events) : items && { items }
+      return changes === undefined ? err(this.#error('malformed', 'no events')) : ok({ ...changes, version })
     })
   }
 
--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -20,6 +20,8 @@
     configWaitMs: () => 0,
     listWaitMs: () => 0,
     endpointReadFailed: () => {},
+    followsEvacuations: false,
+    updateEvacuations: () => {},
     updateConfig: () => {},
     confirmConfig: () => {},
     updateEndpoints: () => false,
@@ -93,9 +95,10 @@
 // Readers called again at once as long as nothing they read was taken: an attack on a store that had just come back.
 describe('the readers, when a store answers at once with nothing of use', () => {
   it.each(Object.keys(unusable))('back off: %s', async name => {
-    const calls = [await countCalls('config', unusable[name]!), await countCalls('endpoints', unusable[name]!)]
-    const max = [2 * MAX_ROUNDS, MAX_ROUNDS] // a watch may be followed by a read of its key
-    expect(calls.map((n, i) => n > 0 && n <= max[i]!)).toEqual([true, true])
+    const followed = { followsEvacuations: true }
+    const calls = [await countCalls('config', unusable[name]!), await countCalls('endpoints', unusable[name]!), await countCalls('config', unusable[name]!, followed)]
+    const max = [2 * MAX_ROUNDS, MAX_ROUNDS, 2 * MAX_ROUNDS] // a watch may be followed by a read of its key
+    expect(calls.map((n, i) => n > 0 && n <= max[i]!)).toEqual([true, true, true])
   })
 })
 
@@ -108,3 +111,149 @@
     expect([calls > 1, calls <= 2 * MAX_ROUNDS]).toEqual([true, true])
   })
 })
+
+/** What a receiver got, and the calls of the store. */
+interface Followed {
+  readonly store: PlatformStore
+  readonly client: StoreClient
+  /** Evacuated data centres of each update, with the epoch. */
+  readonly updates: string[]
+  readonly revisions: number[]
+  /** Order of what was received. */
+  readonly order: string[]
+  readonly reader: ConfigReader
+}
+
+const OP_CONFIG = { version: 3, routes: [], services: [] }
+const opened: Followed[] = []
+
+/** Starts a reader of a store with a configuration and these evacuations. */
+async function follow (evacuated: readonly string[], changes: Partial<IStoreReceiver> = {}): Promise<Followed> {
+  const ownStore = new PlatformStore()
+  ownStore.put('op/config', OP_CONFIG)
+  evacuated.forEach(name => ownStore.put(`op/evacuate/${name}`, {}))
+  const client = new StoreClient('127.0.0.1', await ownStore.listen(), new GatewayMetrics())
+  const [updates, revisions, order]: [string[], number[], string[]] = [[], [], []]
+  const receiver = createReceiver({
+    followsEvacuations: true,
+    configWaitMs: () => 30,
+    updateEvacuations: (names, { epoch, revision }) => {
+      updates.push(`${epoch}: ${names.join(' ')}`)
+      revisions.push(revision)
+      order.push('evacuations')
+    },
+    updateConfig: ({ revision }) => { order.push(`config ${revision}`) },
+    confirmConfig: () => { order.push('confirmed') },
+    ...changes
+  })
+  const reader = new ConfigReader(client, new SeededRandom(1), pino({ level: 'silent' }), receiver)
+  const followed = { store: ownStore, client, updates, revisions, order, reader }
+  opened.push(followed)
+  reader.run().catch(() => {})
+  return followed
+}
+
+/** The last update that was received, once it is the expected one. */
+async function settled ({ updates }: Followed, expected: string): Promise<string | undefined> {
+  for (let i = 0; i < 400 && updates.at(-1) !== expected; i++) await new Promise(resolve => setTimeout(resolve, 10))
+  return updates.at(-1)
+}
+
+describe('ConfigReader, where data centres may be evacuated', () => {
+  afterEach(() => {
+    for (const { reader, client, store: ownStore } of opened.splice(0)) {
+      reader.dispose()
+      client.close()
+      ownStore.close()
+    }
+  })
+
+  // A configuration that was confirmed without the evacuations of the same read kept other gateways from reading them.
+  it('reads both in one call, over several pages, and passes the evacuations on first', async () => {
+    const followed = await follow(['a', 'b', 'c', 'd', 'e'])
+    await settled(followed, '1: a b c d e')
+    const { order, store: { callCounts } } = followed
+    expect([order.slice(0, 3), callCounts.get('key'), callCounts.get('range')]).toEqual([['evacuations', 'config 3', 'confirmed'], undefined, 2])
+  })
+
+  // Deletions of a watch were dropped, so that an evacuation went on after its end.
+  it('passes on the whole set after each change that the watch brings', async () => {
+    const followed = await follow(['a'])
+    await settled(followed, '1: a')
+    followed.store.put('op/evacuate/b', {})
+    const steps = [await settled(followed, '1: a b')]
+    followed.store.delete('op/evacuate/a')
+    steps.push(await settled(followed, '1: b'))
+    followed.store.put('op/evacuate/b', '')
+    followed.store.put('op/evacuate/a', 'odd')
+    steps.push(await settled(followed, '1: a b'))
+    expect([steps, followed.store.callCounts.get('range')]).toEqual([['1: a b', '1: b', '1: a b'], 1])
+  })
+
+  // A key that was deleted and written again between two calls is in force; the deletion came later in the answer.
+  it('takes the last change of a key, in whatever order an answer has them', async () => {
+    const followed = await follow(['a', 'b'])
+    await settled(followed, '1: a b')
+    followed.store.mode = 'silent' // its pending watch isn't answered
+    followed.store.delete('op/evacuate/a')
+    followed.store.put('op/evacuate/a', {})
+    followed.store.delete('op/evacuate/b')
+    followed.store.mode = 'serves'
+    followed.store.put('op/other', {})
+    expect(await settled(followed, '1: a')).toBe('1: a')
+  })
+
+  // A key that was deleted while the store was away stayed in force, as no event tells of it.
+  it('learns by a read of all what was deleted while the store was away or its history was compacted', async () => {
+    const followed = await follow(['a', 'b'])
+    await settled(followed, '1: a b')
+    followed.store.mode = 'refuses'
+    followed.store.delete('op/evacuate/a')
+    followed.store.compact()
+    await new Promise(resolve => setTimeout(resolve, 2_000))
+    const during = followed.updates.at(-1)
+    followed.store.mode = 'serves'
+    expect([during, await settled(followed, '1: b')]).toEqual(['1: a b', '1: b'])
+  }, 15_000)
+
+  // Changes since the copy are lost, and the watch's revision stands for another change.
+  it('reads all again in another epoch, and confirms nothing by an answer from before', async () => {
+    const followed = await follow([])
+    await settled(followed, '1: ')
+    const copy = followed.store.copy()
+    followed.store.put('op/evacuate/a', {})
+    await settled(followed, '1: a')
+    const confirmed = followed.order.length
+    followed.store.restore(copy)
+    const last = await settled(followed, '2: ')
+    expect([last, followed.order.slice(confirmed).filter((what, i, all) => what === 'confirmed' && all[i - 1] !== 'config 3')]).toEqual(['2: ', []])
+  }, 15_000)
+
+  // An instance that doesn't watch read the key alone when gossip stayed away, and so no evacuations.
+  it('reads all when it doesn\'t watch', async () => {
+    const followed = await follow(['a'], { isConfigReader: false, configWaitMs: () => 0 })
+    await settled(followed, '1: a')
+    followed.store.delete('op/evacuate/a')
+    expect([await settled(followed, '1: '), followed.store.callCounts.get('watch')]).toEqual(['1: ', undefined])
+  })
+
+  // Evacuations without a configuration, as on a new platform, were not read.
+  it('follows the evacuations while no configuration is published, and confirms none', async () => {
+    const followed = await follow(['a'])
+    await settled(followed, '1: a')
+    followed.store.delete('op/config')
+    followed.store.compact()
+    followed.store.put('op/evacuate/b', {})
+    const last = await settled(followed, '1: a b')
+    followed.store.delete('op/evacuate/a')
+    expect([last, await settled(followed, '1: b')]).toEqual(['1: a b', '1: b'])
+  })
+
+  // Without evacuations the store must be read as before.
+  it('reads the key alone where none is evacuated', async () => {
+    const followed = await follow(['a'], { followsEvacuations: false })
+    await new Promise(resolve => setTimeout(resolve, 100))
+    const { callCounts } = followed.store
+    expect([followed.updates, callCounts.get('range'), callCounts.get('key')]).toEqual([[], undefined, 1])
+  })
+})
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -1,12 +1,13 @@
-/** Tasks that read the store: one watches the configuration, one reads the list of endpoints at an interval. */
+/** Tasks that read the store: one watches what the operator writes (configuration, evacuations), one reads the list of endpoints at an interval. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { Result } from 'neverthrow'
 import { Disposable } from '../common/Disposable.js'
 import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import { compareVersions } from '../common/peers/ListVersion.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
 import type { IEvent, IRandom } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
-import { CONFIG_KEY, ENDPOINT_PREFIX, parseConfig, parseEndpoint } from './Records.js'
+import { CONFIG_KEY, ENDPOINT_PREFIX, limitEvacuations, OPERATOR_PREFIX, parseConfig, parseEndpoint, parseEvacuation } from './Records.js'
 import type { IStoreReads, StoreError, StoreItem, StoreRead } from './StoreClient.js'
 
 const WATCH_WAIT_MS = 1_500 // short, so that a dead connection is detected soon
@@ -32,6 +33,10 @@
   configWaitMs (intervalMs: number): number
   /** Time until the list should be read again. */
   listWaitMs (intervalMs: number): number
+  /** True where data centres may be evacuated; the configuration's reader then follows the evacuations, too. */
+  readonly followsEvacuations: boolean
+  /** Takes the data centres that are evacuated as of a version of the store; all others aren't. @param ageMs time since they were read. */
+  updateEvacuations (dataCentres: readonly string[], version: ListVersion, ageMs: number): void
   updateConfig (config: RoutingConfig): void
   /** Records that the store has no newer configuration than the one that was read last. */
   confirmConfig (): void
@@ -129,10 +134,12 @@
   }
 }
 
-/** Watches the configuration. */
+/** Watches the configuration and, where data centres may be evacuated, all that the operator writes: evacuations cost no call of their own. */
 export class ConfigReader extends StoreReader {
-  /** Version that the watch goes on from; undefined when the key is to be read first. */
+  /** Version that the watch goes on from; undefined when the key, or all under the prefix, is to be read first. */
   #position: ListVersion | undefined
+  /** Data centres that were evacuated at that version. */
+  #evacuated: ReadonlySet<string> = new Set()
   #notPublishedLogged = false
 
   constructor (store: IStoreReads, random: IRandom, log: Log, receiver: IStoreReceiver, wait = systemWait) {
@@ -147,22 +154,62 @@
     }
     const position = this.#position
     const startedAt = performance.now()
-    const read = position === undefined ? await this.store.key(CONFIG_KEY) : await this.store.watch(CONFIG_KEY, position.revision, WATCH_WAIT_MS)
+    const read = position === undefined ? await this.#readAll() : await this.#watch(position)
     if (read.isErr()) {
       if (read.error.kind === 'not-found') return this.#onNotPublished()
       this.#position = undefined // the store may come back from a copy, in which the revision stands for another change
       return this.failed(read.error)
     }
-    this.#apply(read.value)
     const { version, items } = read.value
-    if (position === undefined) return this.#afterKey()
+    if (position === undefined) return this.#applyAll(read.value, performance.now() - startedAt)
+    this.#applyChanges(position, read.value)
     if (position.epoch !== version.epoch) return this.#onRestored(position, version)
     const hasWaited = performance.now() - startedAt > WATCH_WAIT_MS / 2
-    return this.answered(hasWaited || (items.length > 0 && compareVersions(version, position) > 0))
+    const hasChanges = items.length > 0 || (read.value.deleted?.length ?? 0) > 0
+    return this.answered(hasWaited || (hasChanges && compareVersions(version, position) > 0))
+  }
+
+  async #readAll (): Promise<Result<StoreRead, StoreError>> {
+    return this.receiver.followsEvacuations ? await this.store.range(OPERATOR_PREFIX) : await this.store.key(CONFIG_KEY)
+  }
+
+  async #watch ({ revision }: ListVersion): Promise<Result<StoreRead, StoreError>> {
+    if (this.receiver.followsEvacuations) return await this.store.watch(OPERATOR_PREFIX, revision, WATCH_WAIT_MS, true)
+    return await this.store.watch(CONFIG_KEY, revision, WATCH_WAIT_MS)
+  }
+
+  /** Applies a read of all; the evacuations first, so that a configuration isn't confirmed without them. */
+  #applyAll (read: StoreRead, ageMs: number): number {
+    if (this.receiver.followsEvacuations) {
+      this.#updateEvacuations(new Set([...read.isPartial === true ? this.#evacuated : [], ...evacuatedIn(read)]), read.version, ageMs)
+      if (!read.items.some(item => item.key === CONFIG_KEY)) return this.#onNotPublished()
+    }
+    this.#applyConfig(read)
+    return this.#afterRead()
+  }
+
+  /** Applies what changed since `position`. Changes of another epoch stand for themselves only: all is read again. */
+  #applyChanges (position: ListVersion, read: StoreRead): void {
+    if (!this.receiver.followsEvacuations) {
+      this.#applyConfig(read)
+      return
+    }
+    if (read.version.epoch !== position.epoch) return
+    const deleted = new Set(read.deleted?.map(parseEvacuation))
+    this.#updateEvacuations(new Set([...[...this.#evacuated].filter(name => !deleted.has(name)), ...evacuatedIn(read)]), read.version, 0)
+    this.#applyConfig(read)
+    if (read.isPartial === true) this.#position = undefined
+  }
+
+  #updateEvacuations (dataCentres: ReadonlySet<string>, version: ListVersion, ageMs: number): void {
+    this.#evacuated = dataCentres
+    const kept = limitEvacuations(dataCentres)
+    if (kept.length < dataCentres.size) this.log.error({ step: 'evacuation', kept: kept.length, of: dataCentres.size }, 'too many evacuations')
+    this.receiver.updateEvacuations(kept, version, ageMs)
   }
 
   /** A reader watches from here at once; only an answer to a watch ends its backoff, so that reads of the key in between don't. */
-  #afterKey (): number {
+  #afterRead (): number {
     if (!this.receiver.isConfigReader) return this.answered(true)
     this.regained()
     return 0
@@ -183,7 +230,7 @@
     return this.receiver.isConfigReader ? UNPUBLISHED_POLL_INTERVAL_MS : UNPUBLISHED_WAIT_MS
   }
 
-  #apply (read: StoreRead): void {
+  #applyConfig (read: StoreRead): void {
     this.#position = read.version
     for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
       const config = parseConfig(item)
@@ -194,6 +241,10 @@
   }
 }
 
+function evacuatedIn (read: StoreRead): string[] {
+  return read.items.map(item => parseEvacuation(item.key)).filter(dataCentre => dataCentre !== undefined)
+}
+
 /** Reads the list of endpoints. A watch would fire on each endpoint's heartbeat; a full read per second costs less. */
 export class EndpointReader extends StoreReader {
   readonly #intervalMs: number
