Gossip the set of evacuated data centres

Where evacuations are followed, each gossip datagram carries the whole set; it is joined on receipt, and a change is passed on at once. A peer's confirmation of the configuration counts only with its set, which is joined first: a gateway that took the one without the other would read neither for as long as gossip goes on. Without the bound in the settings datagrams are as before.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -132,6 +132,7 @@
     this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
+    if (this.#evacuations !== undefined) this.own(this.#evacuations.onChange(() => this.#gossip.gossipChange()))
     this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
 
@@ -153,8 +154,7 @@
 
   /** Records that the platform has no newer configuration than the one that was read last. */
   confirmConfig (): void {
-    this.#config.confirm()
-    this.#evacuations?.confirm(0)
+    this.#confirmConfig(0)
   }
 
   /** True where data centres may be evacuated. */
@@ -238,6 +238,12 @@
     this.dispose()
   }
 
+  /** Records that the platform had nothing newer `ageMs` ago: its configuration and its evacuations are read together. */
+  #confirmConfig (ageMs: number): void {
+    this.#config.confirm(ageMs)
+    this.#evacuations?.confirm(ageMs)
+  }
+
   #applyEndpoints (list: EndpointList, ageMs: number): boolean {
     const before = this.#pool.table.digest
     const applied = this.#pool.update(list, ageMs)
@@ -257,7 +263,9 @@
       mergeLoadReports: (peer, reports) => this.#pool.mergeLoadReports(peer, reports),
       limitReports: () => this.#pool.limitReports(),
       mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
-      confirmConfig: ageMs => this.#config.confirm(ageMs),
+      evacuationReport: () => this.#evacuations?.report,
+      mergeEvacuations: (peer, report) => this.#evacuations?.merge(peer, report) !== false,
+      confirmConfig: ageMs => this.#confirmConfig(ageMs),
       confirmList: (version, ageMs) => this.#pool.confirm(version, ageMs),
       fetch: (kind, from, ageMs) => {
         this.#snapshots.fetch(kind, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part: kind, err: String(e) }, 'snapshot fetch failed'))
--- a/src/gateway/GossipTask.test.ts
+++ b/src/gateway/GossipTask.test.ts
@@ -9,6 +9,7 @@
 import { SeededRandom } from '../common/SeededRandom.js'
 import { FakeClock, listOf } from '../common/TestUtils.test.js'
 import type { MemberState } from '../common/Types.js'
+import { EvacuationHolder } from './EvacuationHolder.js'
 import { GossipTask } from './GossipTask.js'
 import { LIST_TOPIC } from './Peers.js'
 
@@ -23,10 +24,16 @@
   readonly sent: GossipDatagram[] = []
   readonly fetched: string[] = []
   view: ViewVersion = { configRevision: 1, configAgeMs: 0, listVersion: { epoch: 1, revision: 10 }, listDigest: 5, listAgeMs: 600 }
+  /** Undefined where data centres are never evacuated. */
+  readonly evacuations: EvacuationHolder | undefined
+  /** Ages at which the configuration was confirmed. */
+  readonly confirmedAges: number[] = []
   readonly task: GossipTask
   readonly #received = new Emitter<PeerDatagram>()
 
-  constructor (id: string, members: readonly Member[]) {
+  constructor (id: string, members: readonly Member[], evacuationMs?: number) {
+    const silent = pino({ level: 'silent' })
+    this.evacuations = evacuationMs === undefined ? undefined : new EvacuationHolder(evacuationMs, new FakeClock(), silent)
     const all = [...members, member(id)]
     const usable = (dataCentre?: string): RendezvousList<string> =>
       listOf(all.filter(m => m.state === 'alive' && (dataCentre ?? m.dataCentre) === m.dataCentre).map(m => m.id))
@@ -44,13 +51,15 @@
         this.sent.push(datagram as GossipDatagram)
       }
     }
-    this.task = new GossipTask(peers, new FakeClock(), new SeededRandom(1), pino({ level: 'silent' }), {
+    this.task = new GossipTask(peers, new FakeClock(), new SeededRandom(1), silent, {
       viewVersion: () => this.view,
       loadReports: () => [{ endpoint: 1, requests: 2, ageMs: 3, failed: 0, ended: 0 }],
       mergeLoadReports: () => {},
       limitReports: () => [],
       mergeLimitReports: () => {},
-      confirmConfig: () => {},
+      evacuationReport: () => this.evacuations?.report,
+      mergeEvacuations: (peer, report) => this.evacuations?.merge(peer, report) !== false,
+      confirmConfig: ageMs => { this.confirmedAges.push(ageMs) },
       confirmList: (_version, listAgeMs) => { this.view = { ...this.view, listAgeMs } },
       fetch: (kind, from) => { this.fetched.push(`${kind} from ${from.id}`) }
     })
@@ -102,4 +111,27 @@
     gateway.receive('b3', { listVersion: { epoch: 1, revision: 9 }, listDigest: 7 })
     expect(gateway.fetched).toEqual(['config from b1', 'endpoints from b2'])
   })
+
+  // A gateway that took a peer's word for the configuration without its evacuations read neither of them, and sent on to an evacuated data centre.
+  it('takes the word of a peer on the configuration only with its evacuations, and joins these first', () => {
+    const evacuations = { known: true, version: { epoch: 1, revision: 12 }, dataCentres: [{ name: 'b', ageMs: 40, maxAgeMs: 90 }] }
+    const gateway = new TestGateway('a1', others('a1'), 5_000)
+    gateway.view = { ...gateway.view, configAgeMs: 900 }
+    gateway.receive('b1', { configAgeMs: 10 })
+    gateway.receive('b2', { configAgeMs: 20, evacuations: { ...evacuations, known: false, dataCentres: [] } })
+    gateway.receive('b3', { configAgeMs: 30, evacuations })
+    expect([gateway.confirmedAges, gateway.evacuations!.ages]).toEqual([[30], [{ dataCentre: 'b', ageMs: 40 }]])
+  })
+
+  // Where data centres are never evacuated, datagrams and confirmations must be as before.
+  it('sends the whole set where there can be one, and no field elsewhere', () => {
+    const evacuations = { known: true, version: { epoch: 1, revision: 12 }, dataCentres: [{ name: 'b', ageMs: 40, maxAgeMs: 90 }] }
+    const [gateway, without] = [new TestGateway('a1', others('a1'), 5_000), new TestGateway('a1', others('a1'))]
+    for (const g of [gateway, without]) {
+      g.view = { ...g.view, configAgeMs: 900 }
+      g.receive('b3', { evacuations })
+      g.task.gossipChange()
+    }
+    expect([gateway.sent.map(d => d.evacuations), 'evacuations' in without.sent[0]!, without.confirmedAges]).toEqual([[evacuations], false, [0]])
+  })
 })
--- a/src/gateway/GossipTask.ts
+++ b/src/gateway/GossipTask.ts
@@ -1,9 +1,10 @@
 /**
  * Gossips the revision and age of this gateway's configuration and list of endpoints, the loads that endpoints reported and
  * the outcomes of requests there, and merges what peers send. A newer configuration or list is fetched from the peer that has it.
+ * The set of evacuated data centres is sent whole, where there can be one.
  */
 import { Disposable, toDisposable } from '../common/Disposable.js'
-import type { GossipDatagram, ListVersion } from '../common/generated/PeerDatagram.js'
+import type { EvacuationReport, GossipDatagram, ListVersion } from '../common/generated/PeerDatagram.js'
 import { readerOf } from '../common/peers/ReaderElection.js'
 import { compareConfig, compareList, type ViewVersion } from '../common/peers/ViewVersion.js'
 import type { IClock, IRandom } from '../common/Services.js'
@@ -27,6 +28,10 @@
   mergeLoadReports (peer: string, reports: GossipDatagram['loads']): void
   limitReports (): GossipDatagram['limits']
   mergeLimitReports (reports: GossipDatagram['limits']): void
+  /** The evacuations that this gateway knows; undefined where there are never any. */
+  evacuationReport (): EvacuationReport | undefined
+  /** Joins the set of a peer. Returns false when that leaves this gateway without what the peer's reads of the configuration brought with them. */
+  mergeEvacuations (peer: string, report: EvacuationReport | undefined): boolean
   confirmConfig (ageMs: number): void
   confirmList (version: ListVersion, ageMs: number): void
   /** Fetches the configuration or the list from a peer that has a newer one. @param ageMs age of the peer's copy. */
@@ -86,7 +91,9 @@
   #createMessage (loads: GossipDatagram['loads']): GossipDatagram {
     const { configRevision, configAgeMs, listVersion, listDigest, listAgeMs } = this.#host.viewVersion()
     const ages = { configAgeMs: clampAge(configAgeMs), listAgeMs: clampAge(listAgeMs) }
-    return { kind: 'news', id: this.#peers.self.id, configRevision, listVersion, listDigest, ...ages, loads, limits: this.#host.limitReports() }
+    const report = this.#host.evacuationReport()
+    const evacuations = report === undefined ? {} : { evacuations: report }
+    return { kind: 'news', id: this.#peers.self.id, configRevision, listVersion, listDigest, ...ages, loads, limits: this.#host.limitReports(), ...evacuations }
   }
 
   /** Sends to some peers, including those that are leaving, as they continue to serve for a while. */
@@ -102,10 +109,11 @@
   #receive (message: GossipDatagram): void {
     this.#host.mergeLoadReports(message.id, message.loads)
     this.#host.mergeLimitReports(message.limits)
+    const hasEvacuations = this.#host.mergeEvacuations(message.id, message.evacuations)
     const own = this.#host.viewVersion()
     const peer = this.#peers.address(message.id)
     const config = compareConfig(own, message)
-    if (config === 'confirm') this.#host.confirmConfig(message.configAgeMs)
+    if (config === 'confirm' && hasEvacuations) this.#host.confirmConfig(message.configAgeMs)
     else if (config === 'fetch' && peer !== undefined) this.#host.fetch('config', peer, message.configAgeMs)
     const list = compareList(own, message)
     if (list === 'confirm') this.#confirmList(message, own)
