Send no request to an evacuated data centre

An evacuated data centre's endpoints are no candidates for calls and new sessions from the moment the gateway hears of it, not as a last resort either. The engine of a session goes on to serve it until the session leaves, at a time that its owner and the gateways that send its requests compute alike; copies of prompts end a little later. A request is checked at each choice, after it waited for an admission of its endpoint, and once more when its connection is open: between a choice and the first byte up to 150 ms pass. A request that is withdrawn there was not sent; it is placed anew without a retry being counted and without an outcome for the endpoint.

When nothing is left because of evacuations the request is refused as not run, with a code of its own (503, evacuated) and Retry-After of 1 to 2 s.

A prompt's holder that is over its load bound is used when no other engine is left: before, there was always another candidate then.

Metrics: evacuations in force and their ages.

--- a/src/common/Errors.test.ts
+++ b/src/common/Errors.test.ts
@@ -18,6 +18,7 @@
         "not-run 429 rate_limited",
         "not-run 431 headers_too_large",
         "not-run 503 endpoint_refused",
+        "not-run 503 evacuated",
         "not-run 503 limit_reached",
         "not-run 503 memory_full",
         "not-run 503 no_endpoint",
--- a/src/common/Errors.ts
+++ b/src/common/Errors.ts
@@ -29,6 +29,7 @@
   stopping: { status: 503, outcome: 'not-run', meaning: 'The instance is stopping and could not finish the request in time.' },
   limit_reached: { status: 503, outcome: 'not-run', meaning: 'The endpoints that serve this take no more requests for now.' },
   prompt_blocked: { status: 503, outcome: 'not-run', meaning: 'Engines ended when they answered prompts with a part of this one; it is not sent to another.' },
+  evacuated: { status: 503, outcome: 'not-run', meaning: 'The data centres that serve this are evacuated.' },
   placement_declined: { status: 503, outcome: 'not-run', meaning: 'The home of the endpoint declined the request.' },
   endpoint_refused: { status: 503, outcome: 'not-run', meaning: 'The endpoint said that it did not run the request.' },
   peer_unreachable: { status: 503, outcome: 'not-run', meaning: 'The peer could not be connected to; no byte was sent.' },
--- a/src/common/routing/EvacuationSet.ts
+++ b/src/common/routing/EvacuationSet.ts
@@ -71,6 +71,11 @@
     return this.#isKnown
   }
 
+  /** True when nothing is evacuated, so that no data centre needs to be looked at. */
+  get isEmpty (): boolean {
+    return this.#isKnown && this.#listed.size === 0 && this.#retained.size === 0
+  }
+
   /** Version at which the store held the set. */
   get version (): ListVersion {
     return this.#version
--- a/src/common/routing/HolderDirectory.ts
+++ b/src/common/routing/HolderDirectory.ts
@@ -35,14 +35,14 @@
 
   /**
    * Hash of an engine to copy the session's prompt from, or else its template; undefined when there is none or `endpoint`
-   * itself holds the template. @param isListed true when an engine still runs.
+   * itself holds the template. @param isSource true when prompts may be copied from an engine, which still runs.
    */
-  copySource (key: PromptKey, endpoint: number, isListed: (endpoint: number) => boolean, now: number): number | undefined {
+  copySource (key: PromptKey, endpoint: number, isSource: (endpoint: number) => boolean, now: number): number | undefined {
     const holder = this.holderOf(key.session)
-    if (holder !== undefined && holder !== endpoint && isListed(holder)) return holder
+    if (holder !== undefined && holder !== endpoint && isSource(holder)) return holder
     if (this.#holdsTemplate(key.template, endpoint, now)) return undefined
     for (const [engine, usedAt] of this.#templates.get(key.template) ?? []) { // the latest may still be reading the template
-      if (engine !== endpoint && now - usedAt < TEMPLATE_TTL_MS && isListed(engine)) return engine
+      if (engine !== endpoint && now - usedAt < TEMPLATE_TTL_MS && isSource(engine)) return engine
     }
     return undefined
   }
--- a/src/common/routing/PromptPlacement.ts
+++ b/src/common/routing/PromptPlacement.ts
@@ -65,6 +65,7 @@
   if (holderState !== undefined && fits(holderState)) return { state: holderState, reason: 'holder', load: holderState.load(now) }
   const ranked = candidates.rank(session, FIRST_RANKED)
   const home = ranked[0]
+  if (home === undefined && holderState !== undefined) return { state: holderState, reason: 'holder', load: holderState.load(now) }
   if (home === undefined) return readmit(candidates, now)
   const fitting = ranked.find(fits) ?? candidates.rank(session, candidates.size).find(fits) ?? holderState ?? home
   const reason = fitting === holderState ? 'holder' : fitting === home ? 'home' : 'spill'
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -19,8 +19,8 @@
   | { readonly kind: 'streamed', readonly status: number }
   /** A complete response, not yet sent to the caller. */
   | { readonly kind: 'answered', readonly head: ResponseHead, readonly body: Uint8Array }
-  /** The endpoint can't have run the request; `other-endpoint` answered in its place. */
-  | { readonly kind: 'not-run', readonly by: 'connect' | 'endpoint' | 'other-endpoint', readonly detail: string }
+  /** The endpoint can't have run the request; `other-endpoint` answered in its place, `withdrawn` when this instance didn't write it. */
+  | { readonly kind: 'not-run', readonly by: 'connect' | 'withdrawn' | 'endpoint' | 'other-endpoint', readonly detail: string }
   /** The request may have run; nothing was sent to the caller. */
   | { readonly kind: 'lost', readonly why: 'reset' | 'silent' | 'untrusted', readonly detail: string }
   /**
@@ -189,7 +189,7 @@
   }
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
-    if (!sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
+    if (!sent) this.#settle({ kind: 'not-run', by: failure === 'withdrawn' ? failure : 'connect', detail })
     else this.#settleBrokenOff(`${failure}: ${detail}`)
   }
 
--- a/src/gateway/EndpointExchange.test.ts
+++ b/src/gateway/EndpointExchange.test.ts
@@ -26,11 +26,11 @@
   return (server.address() as AddressInfo).port
 }
 
-async function exchange (agent: EndpointAgent, port: number, headers = ['Host', 'a']): Promise<Outcome> {
+async function exchange (agent: EndpointAgent, port: number, headers = ['Host', 'a'], mayWrite?: () => boolean): Promise<Outcome> {
   return await new Promise(resolve => {
     let status = 0
     let body = ''
-    const call = { address: '127.0.0.1', port, method: 'GET', target: '/', headers, body: Buffer.alloc(0), connectTimeoutMs: 1_000 }
+    const call = { address: '127.0.0.1', port, method: 'GET', target: '/', headers, body: Buffer.alloc(0), connectTimeoutMs: 1_000, ...mayWrite === undefined ? {} : { mayWrite } }
     const sink = {
       onHead: (code: number) => { status = code },
       onData: (chunk: Buffer) => { body += chunk.toString() },
@@ -64,6 +64,21 @@
     expect(await exchange(new EndpointAgent(), port)).toMatchObject({ result: 'reset', status: 200 })
   })
 
+  // A request whose endpoint was evacuated while the connection was opened was written all the same.
+  it('writes no byte of a request that is withdrawn when its connection is open, a new one or a kept one', async () => {
+    let requests = 0
+    const port = await endpoint(socket => {
+      requests++
+      socket.write(LENGTH_DELIMITED)
+    })
+    const agent = new EndpointAgent()
+    const outcomes = [await exchange(agent, port, undefined, () => false), await exchange(agent, port), await exchange(agent, port, undefined, () => false)]
+    await new Promise(resolve => setTimeout(resolve, 50))
+    agent.destroy()
+    const withdrawn = { result: 'withdrawn', status: 0, body: '', sent: false }
+    expect([outcomes, requests]).toEqual([[withdrawn, { result: 'whole', status: 200, body: 'ok', sent: true }, withdrawn], 1])
+  })
+
   it('reports that nothing was sent when no connection was established', async () => {
     const port = await endpoint(() => {})
     server!.close()
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -16,10 +16,12 @@
   readonly headers: HeaderList
   readonly body: Uint8Array
   readonly connectTimeoutMs: number
+  /** Asked once a connection is open: false withdraws the request before any byte of it is written. Absent: it is written. */
+  readonly mayWrite?: () => boolean
 }
 
-/** Why an exchange ended without a complete response. */
-export type ExchangeFailure = 'connect' | 'reset' | 'aborted'
+/** Why an exchange ended without a complete response; `withdrawn` when the request was not to be written any more. */
+export type ExchangeFailure = 'connect' | 'withdrawn' | 'reset' | 'aborted'
 
 /** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
 export interface IExchangeSink {
@@ -86,7 +88,7 @@
   #start (agent: EndpointAgent, call: ExchangeRequest): ClientRequest {
     const { address: host, port, method, target: path } = call
     const req = request({ agent, host, port, method, path, setHost: false, headers: call.headers as unknown as string[] })
-    req.on('socket', socket => this.#onSocket(socket, call.connectTimeoutMs))
+    req.on('socket', socket => this.#onSocket(socket, call))
     req.on('response', res => this.#onResponse(res))
     req.on('error', e => this.#fail(e.message))
     req.on('close', () => this.#fail('closed before the answer'))
@@ -95,22 +97,29 @@
     return req
   }
 
-  #onSocket (socket: Socket, connectTimeoutMs: number): void {
+  #onSocket (socket: Socket, call: ExchangeRequest): void {
     if (this.#settled) {
       socket.destroy()
       return
     }
     if (!socket.connecting) {
-      this.#markSent()
+      this.#markSent(call)
       return
     }
+    const { connectTimeoutMs } = call
     this.#connectTimeout = new InputTimeout(connectTimeoutMs, () => this.#fail(`no connection within ${connectTimeoutMs} ms`))
-    socket.once('connect', () => this.#markSent())
+    socket.once('connect', () => this.#markSent(call)) // before Node writes, which it does in a later listener
   }
 
-  #markSent (): void {
+  /** Called on an open connection, before the first byte is written. */
+  #markSent (call: ExchangeRequest): void {
     this.#connectTimeout?.dispose()
     if (this.#settled) return
+    if (call.mayWrite?.() === false) {
+      this.#failure = 'withdrawn'
+      this.#fail('withdrawn before it was written')
+      return
+    }
     this.#sent = true
     this.#failure = 'reset'
   }
--- a/src/gateway/EndpointPool.test.ts
+++ b/src/gateway/EndpointPool.test.ts
@@ -10,6 +10,7 @@
 import type { Endpoint } from '../common/routing/Types.js'
 import { FakeClock } from '../common/TestUtils.test.js'
 import { EndpointPool, type PooledEndpoint } from './EndpointPool.js'
+import { EvacuationHolder } from './EvacuationHolder.js'
 
 const SIZES = [300, 2_300]
 const NOW = 1_000
@@ -144,3 +145,69 @@
     expect(stateOf(pool, 0).limitPerSec(NOW)).toBeUndefined()
   })
 })
+
+describe('EndpointPool, where data centres are evacuated', () => {
+  const BOUND_MS = 5_000
+  const [inDc0, inDc1] = [hashString('e0'), hashString('e1')]
+
+  /** Ten endpoints in five data centres, of which these are evacuated from now on. */
+  function createEvacuated (...dataCentres: readonly string[]): { pool: EndpointPool, clock: FakeClock, evacuations: EvacuationHolder } {
+    const [clock, log] = [new FakeClock(), pino({ level: 'silent' })]
+    const evacuations = new EvacuationHolder(BOUND_MS, clock, log)
+    const pool = new EndpointPool(clock, log, evacuations)
+    pool.update({ version: { epoch: 1, revision: 1 }, endpoints: Array.from({ length: 10 }, (_, i) => endpoint(i)) }, 0)
+    evacuations.update([], { epoch: 1, revision: 1 }, 0)
+    evacuations.update(dataCentres, { epoch: 1, revision: 2 }, 0)
+    return { pool, clock, evacuations }
+  }
+
+  /** Data centres in which calls and new sessions are placed, also as a retry. */
+  function placedIn (pool: EndpointPool, dataCentre: string): string[] {
+    const tried = new Set<string>()
+    const placed = new Set<string>()
+    for (let i = 0; i < 30; i++) {
+      const scope = { tried, session: i, only: i % 3 === 0 ? dataCentre : undefined }
+      const choices = [placeCall(`r${i}`, dataCentre, pool.candidates('engines', scope), NOW), placePrompt(i, undefined, pool.candidates('engines', scope), NOW)]
+      const chosen = new HolderDirectory().choose({ session: i, template: 5, templateTokens: 1, sessionTokens: 1 }, pool.candidates('engines', scope), NOW)
+      for (const state of [...choices.map(choice => choice?.state), chosen]) if (state !== undefined) placed.add(state.endpoint.dataCentre)
+      if (i % 10 === 9) tried.add(`e${i % 3}`)
+    }
+    return [...placed].sort()
+  }
+
+  // An endpoint of an evacuated data centre was used as a last resort: near, ejected, or the only ones that could be connected to.
+  it('offers no endpoint there for new work, not as a last resort either', () => {
+    const { pool } = createEvacuated('dc0', 'dc1')
+    const { pool: emptied } = createEvacuated('dc0', 'dc1', 'dc2', 'dc3', 'dc4')
+    const healthy = placedIn(pool, 'dc0')
+    for (const i of [2, 3, 4, 7, 8, 9]) for (let k = 0; k < 12; k++) pool.recordOutcome(stateOf(pool, i) ?? pool.get(hashString(`e${i}`))!, 'unreachable', 'r')
+    expect([healthy, placedIn(pool, 'dc0').filter(name => name === 'dc0' || name === 'dc1'), placedIn(emptied, 'dc0'), emptied.hasEvacuated('engines')])
+      .toEqual([['dc2', 'dc3', 'dc4'], [], [], true])
+  })
+
+  // A session left at another time at its owner than at the gateway that sent its request, or was refused though its engine might serve it.
+  it('offers the holder of a session until that leaves, also when nothing else is left, and copies until then', () => {
+    const { pool, clock } = createEvacuated('dc0', 'dc2', 'dc3', 'dc4', 'dc1')
+    const holderOf = (session: number): unknown => placePrompt(session, inDc0, pool.candidates('engines', { session }), clock.nowMs())?.reason
+    const sessions = Array.from({ length: 40 }, (_, i) => i * 7_919)
+    const serve = (): number => sessions.filter(session => holderOf(session) === 'holder' && pool.isUsable(inDc0, session)).length
+    const [at0, copies0] = [serve(), pool.isCopySource(inDc0)]
+    clock.advance(1_000)
+    const at1 = serve()
+    clock.advance(1_000)
+    const [at2, copies2] = [serve(), pool.isCopySource(inDc0)]
+    clock.advance(2_000)
+    expect([at0, at1 > 5 && at1 < 35, at2, copies0, copies2, pool.isCopySource(inDc0), pool.isUsable(inDc0)]).toEqual([40, true, 0, true, true, false, true])
+  })
+
+  // A choice was used though an evacuation had come while the request waited for an admission or its connection.
+  it('tells of a choice whether it still holds', () => {
+    const { pool, evacuations } = createEvacuated()
+    const [first, second] = [pool.get(inDc0)!, pool.get(inDc1)!]
+    const before = [pool.isOpen(first), pool.isOpen(first, 7)]
+    evacuations.update(['dc0'], { epoch: 1, revision: 3 }, 0)
+    const during = [pool.isOpen(first), pool.isOpen(first, 7), pool.isOpen(second)]
+    evacuations.update([], { epoch: 1, revision: 4 }, 0)
+    expect([before, during, pool.isOpen(first), pool.hasEvacuated('engines')]).toEqual([[true, true], [false, true, true], true, false])
+  })
+})
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,7 +1,7 @@
 /** Holds the state and the connections of each listed endpoint, and updates them as the list of endpoints changes. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { GossipedLimit, GossipedLoad, ListVersion } from '../common/generated/PeerDatagram.js'
-import { Candidates } from '../common/routing/Candidates.js'
+import { Candidates, type CandidateFilter } from '../common/routing/Candidates.js'
 import { DataCentreHealth } from '../common/routing/DataCentreHealth.js'
 import { EndpointGroup } from '../common/routing/EndpointGroup.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
@@ -13,6 +13,7 @@
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { EndpointAgent } from './EndpointAgent.js'
+import type { EvacuationHolder } from './EvacuationHolder.js'
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
 
@@ -22,6 +23,8 @@
   readonly tried?: ReadonlySet<string>
   /** Data centre outside of which no endpoint is taken while it has one left. */
   readonly only?: string | undefined
+  /** Hash of the request's session, which leaves its engine in an evacuated data centre at a time of its own. */
+  readonly session?: number | undefined
 }
 
 /** State of an endpoint with its connections. */
@@ -33,6 +36,7 @@
   readonly table = new EndpointTable()
   readonly #clock: IClock
   readonly #log: Log
+  readonly #evacuations: EvacuationHolder | undefined
   /** States of the listed endpoints by id. */
   readonly #states = new Map<string, PooledEndpoint>()
   readonly #byHash = new Map<number, PooledEndpoint>()
@@ -43,10 +47,12 @@
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
-  constructor (clock: IClock, log: Log) {
+  /** @param evacuations undefined where data centres are never evacuated. */
+  constructor (clock: IClock, log: Log, evacuations?: EvacuationHolder) {
     super()
     this.#clock = clock
     this.#log = log
+    this.#evacuations = evacuations
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
@@ -86,10 +92,33 @@
     this.table.recordReadFailure(this.#clock.nowMs() - ageMs)
   }
 
-  /** True when the endpoint with this hash is listed and not leaving. */
-  isUsable (hash: number): boolean {
+  /**
+   * True when the endpoint with this hash is listed and not leaving.
+   * @param session hash of a session that it holds: false when that has left the endpoint's evacuated data centre.
+   */
+  isUsable (hash: number, session?: number): boolean {
     const state = this.#byHash.get(hash)
-    return state !== undefined && this.table.get(state.endpoint.id)?.leaving === false
+    const isListed = state !== undefined && this.table.get(state.endpoint.id)?.leaving === false
+    return isListed && (session === undefined || this.isOpen(state, session))
+  }
+
+  /**
+   * False when the endpoint may not get a request, as its data centre is evacuated.
+   * @param session hash of the request's session, if the endpoint holds its prompt.
+   */
+  isOpen ({ endpoint: { dataCentre } }: EndpointState, session?: number): boolean {
+    return this.#openTo(session).isAllowed?.(dataCentre, session !== undefined) !== false
+  }
+
+  /** True when endpoints of the service lie in evacuated data centres. */
+  hasEvacuated (service: string): boolean {
+    return this.#group(service).members.some(state => !this.isOpen(state))
+  }
+
+  /** True when prompts may be copied from the endpoint with this hash: it is listed, leaving or not. */
+  isCopySource (hash: number): boolean {
+    const state = this.#byHash.get(hash)
+    return state !== undefined && this.#evacuations?.mayCopyFrom(state.endpoint.dataCentre) !== false
   }
 
   /** True when the endpoint with this hash is listed, leaving or not. */
@@ -180,10 +209,19 @@
   }
 
   /** Endpoints of a service that accept new requests of this scope. */
-  candidates (service: string, { tried = NONE_TRIED, only }: PlacementScope = {}): Candidates {
+  candidates (service: string, { tried = NONE_TRIED, only, session }: PlacementScope = {}): Candidates {
     const now = this.#clock.nowMs()
     const isReachable = (dataCentre: string): boolean => (only === undefined || dataCentre === only) && !this.#reachability.isEjected(dataCentre, now)
-    return new Candidates(this.#group(service), { tried, isReachable }, now)
+    return new Candidates(this.#group(service), { tried, isReachable, ...this.#openTo(session) }, now)
+  }
+
+  /** Leaves out evacuated data centres; the condition is absent while there are none. */
+  #openTo (session: number | undefined): Pick<CandidateFilter, 'isAllowed'> {
+    const evacuations = this.#evacuations
+    if (evacuations === undefined || evacuations.isEmpty) return {}
+    const isClosed = (dataCentre: string, isHolder: boolean): boolean =>
+      isHolder && session !== undefined ? evacuations.isClosedTo(dataCentre, session) : evacuations.isClosed(dataCentre)
+    return { isAllowed: (dataCentre, isHolder) => !isClosed(dataCentre, isHolder) }
   }
 
   /** Records the outcome of a request; the endpoint may be ejected, or its data centre marked as unreachable. */
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -31,12 +31,14 @@
   readonly #tried = new Set<string>()
   #affinity: SessionAffinity | undefined
   #sessionLine: SessionLine | undefined
+  readonly #session: number | undefined
   #connectFailures = 0
 
   constructor (services: SelectorServices, service: string, request: RoutedRequest) {
     this.#services = services
     this.#service = service
     this.#request = request
+    this.#session = request.prompt === undefined ? undefined : promptKey(request.prompt).session
   }
 
   /** How the session's engine was found; undefined for requests without a prompt. */
@@ -54,12 +56,22 @@
     const { limiter, metrics } = this.#services
     for (;;) {
       const choice = await this.#choose()
-      if (choice !== undefined && limiter.isLimited(choice.state) && !await limiter.admit(choice.state)) continue
+      if (choice !== undefined && limiter.isLimited(choice.state) && !(await limiter.admit(choice.state) && this.isOpen(choice))) continue
       if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
       return choice
     }
   }
 
+  /** False when the chosen endpoint's data centre was evacuated since the choice, so that it may not get the request. */
+  isOpen ({ state, reason }: EndpointChoice): boolean {
+    return this.#services.pool.isOpen(state, reason === 'holder' ? this.#session : undefined)
+  }
+
+  /** True when endpoints of the service are left out as their data centres are evacuated. */
+  get hasEvacuated (): boolean {
+    return this.#services.pool.hasEvacuated(this.#service)
+  }
+
   /** Time in ms until an endpoint that is at its limit, or in a pause, may take a request; undefined when none is. */
   openWaitMs (): number | undefined {
     return this.#candidates().openWaitMs()
@@ -78,8 +90,9 @@
   promptSource (state: PooledEndpoint): Endpoint | undefined {
     if (this.#affinity === undefined) return undefined
     const { endpoint, source } = this.#affinity
-    const engine = this.#services.pool.getReachable(state.hash === endpoint ? source : endpoint)
-    return engine?.health.isAvailable(this.#services.clock.nowMs()) === true ? engine.endpoint : undefined
+    const { pool, clock } = this.#services
+    const engine = pool.getReachable(state.hash === endpoint ? source : endpoint)
+    return engine?.health.isAvailable(clock.nowMs()) === true && pool.isCopySource(engine.hash) ? engine.endpoint : undefined
   }
 
   async #choose (): Promise<EndpointChoice | undefined> {
@@ -103,6 +116,7 @@
   /** After connections to several endpoints failed, those of the own data centre: this one may be cut off from the others. */
   #candidates (): Candidates {
     const { pool, dataCentre } = this.#services
-    return pool.candidates(this.#service, { tried: this.#tried, only: this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre })
+    const only = this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre
+    return pool.candidates(this.#service, { tried: this.#tried, only, session: this.#session })
   }
 }
--- a/src/gateway/EvacuationHolder.ts
+++ b/src/gateway/EvacuationHolder.ts
@@ -28,6 +28,11 @@
     return this.#set.isKnown
   }
 
+  /** True when nothing is evacuated. */
+  get isEmpty (): boolean {
+    return this.#set.isEmpty
+  }
+
   /** The evacuations in force. */
   get ages (): readonly EvacuationAge[] {
     return this.#set.ages(this.#clock.nowMs())
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -96,7 +96,8 @@
     this.#config = this.own(new ConfigHolder(clock))
     const { evacuationMs } = settings
     this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
-    this.#pool = this.own(new EndpointPool(clock, log))
+    metrics.evacuations = () => this.#evacuations?.ages ?? []
+    this.#pool = this.own(new EndpointPool(clock, log, this.#evacuations))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus metrics of a gateway. The deep imports leave out prom-client's default metrics, which take 9 MB of memory. */
+import type { EvacuationAge } from '../common/routing/EvacuationSet.js'
 import Counter from 'prom-client/lib/counter.js'
 import Gauge from 'prom-client/lib/gauge.js'
 import Histogram from 'prom-client/lib/histogram.js'
@@ -28,8 +29,27 @@
   readonly knownGateways = new Gauge({ name: 'radishloft_known_gateways', help: 'Gateways among which the retry burst is divided.', registers: [this.registry] })
   readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
 
+  /** The evacuations in force when metrics are collected. */
+  evacuations: () => readonly EvacuationAge[] = () => []
+  readonly evacuationCount: Gauge = new Gauge({
+    name: 'radishloft_evacuations', help: 'Evacuated data centres.', registers: [this.registry], collect: () => this.evacuationCount.set(this.evacuations().length)
+  })
+
+  readonly evacuationAge: Gauge = new Gauge({
+    name: 'radishloft_evacuation_age_seconds',
+    help: 'Time since the first gateway heard of the evacuation of a data centre.',
+    labelNames: ['data_centre'],
+    registers: [this.registry],
+    collect: () => this.#collectAges()
+  })
+
   /** Counts bytes between instances that carry no request. */
   countControlBytes (direction: 'sent' | 'received', kind: string, bytes: number): void {
     this.controlBytes.inc({ direction, kind }, bytes)
   }
+
+  #collectAges (): void {
+    this.evacuationAge.reset()
+    for (const { dataCentre, ageMs } of this.evacuations()) this.evacuationAge.set({ data_centre: dataCentre }, ageMs / 1_000)
+  }
 }
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -26,6 +26,7 @@
 const REUSE_DISABLED_MS = 5_000 // after a response that doesn't belong to its request, each request gets a new connection for this long
 const DEADLINE_MARGIN_MS = 60 // lets the endpoint's own deadline error arrive before this instance sends one
 const RETRY_AFTER_MS = 250
+const EVACUATED_RETRY_AFTER_MS = 1_000 // an evacuation doesn't end within moments; another instance may reach other data centres
 const RETURN_SPREAD_MS = 1_000
 const MIN_REDIRECT_STATUS = 300
 const MIN_FAILURE_STATUS = 500
@@ -122,6 +123,7 @@
   #noChoiceError (): RouteError {
     const waitMs = this.#selector.openWaitMs()
     if (waitMs !== undefined) return this.#createError('limit_reached', 'all endpoints are at their limits or want a pause', this.#spread(waitMs))
+    if (this.#selector.hasEvacuated) return this.#createError('evacuated', 'the data centres of the endpoints that are left are evacuated', this.#spread(EVACUATED_RETRY_AFTER_MS))
     return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
   }
 
@@ -145,7 +147,7 @@
     this.#selector.recordAttempt(state.endpoint)
     if (!this.#retryable) state.agent.closeIdle(MAX_REUSE_IDLE_MS)
     state.inFlight++
-    const attempt = new Attempt(state.agent, this.#buildExchangeRequest(state), this.#response, {
+    const attempt = new Attempt(state.agent, this.#buildExchangeRequest(choice), this.#response, {
       streaming: route.streaming,
       eventStream: this.#eventStream,
       idleTimeoutMs: this.#idleTimeoutMs(),
@@ -184,7 +186,8 @@
   }
 
   /** Builds the request that is sent to an endpoint. */
-  #buildExchangeRequest (state: PooledEndpoint): ExchangeRequest {
+  #buildExchangeRequest (choice: EndpointChoice): ExchangeRequest {
+    const state = choice.state as PooledEndpoint
     const { request, route, account, body } = this.#context
     const { id, address, port } = state.endpoint
     const headers = this.#services.codec.encodeRequest({
@@ -197,7 +200,8 @@
       promptSource: this.#selector.promptSource(state)
     })
     const allHeaders = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
-    return { address, port, method: request.method, target: request.target, headers: allHeaders, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
+    const mayWrite = (): boolean => this.#selector.isOpen(choice)
+    return { address, port, method: request.method, target: request.target, headers: allHeaders, body, connectTimeoutMs: CONNECT_TIMEOUT_MS, mayWrite }
   }
 
   /** Decodes a response head and records the load in it at once: the load is current now, however long the body takes. */
@@ -239,6 +243,7 @@
         recordOutcome(result.head.status >= MIN_FAILURE_STATUS ? 'failed' : 'answered')
         return this.#handleResponse(state, result)
       case 'not-run':
+        if (result.by === 'withdrawn') return 'again'
         if (result.by === 'other-endpoint') recordOutcome('misdirected')
         if (result.by !== 'connect') return this.#tryRetry() ? 'again' : this.#createError('endpoint_refused', result.detail)
         recordOutcome('unreachable')
--- a/src/gateway/SessionAffinityTask.test.ts
+++ b/src/gateway/SessionAffinityTask.test.ts
@@ -28,6 +28,12 @@
   /** Members that receive nothing. */
   readonly silent = new Set<string>()
   readonly leaving = new Set<number>()
+  /** Engines in an evacuated data centre. */
+  readonly candidatesWithout = new Set<number>()
+  /** Engines from which no prompt may be copied. */
+  readonly closedToCopies = new Set<number>()
+  /** True for a session that has left an engine in an evacuated data centre. */
+  hasLeft: (endpoint: number, session: number) => boolean = () => false
   sent = 0
   cut = false
 
@@ -49,8 +55,9 @@
       send: (to: InstanceAddress, datagram: PeerDatagram) => this.#send(to, datagram)
     }
     this.tasks.set(id, new SessionAffinityTask(peers, this.clock, {
-      isUsable: hash => this.engines.some(e => e.hash === hash) && !this.leaving.has(hash),
+      isUsable: (hash, session) => this.engines.some(e => e.hash === hash) && !this.leaving.has(hash) && !this.hasLeft(hash, session),
       isListed: hash => this.engines.some(e => e.hash === hash),
+      isCopySource: hash => this.engines.some(e => e.hash === hash) && !this.closedToCopies.has(hash),
       candidates: () => this.#candidates(this.clock.nowMs())
     }))
   }
@@ -67,7 +74,7 @@
   }
 
   #candidates (now: number): Candidates {
-    const group = new EndpointGroup(this.engines.filter(e => !this.leaving.has(e.hash)), now)
+    const group = new EndpointGroup(this.engines.filter(e => !this.leaving.has(e.hash) && !this.candidatesWithout.has(e.hash)), now)
     return new Candidates(group, { tried: new Set(), isReachable: () => true }, now)
   }
 
@@ -95,6 +102,20 @@
     expect([b!.endpoint === leaving, b!.source, c!.endpoint]).toEqual([false, leaving, b!.endpoint])
   })
 
+  // A session that had left an evacuated data centre was sent back by an owner or a gateway that remembered its engine there, and new ones went there.
+  it('replaces the engine of a session that has left, keeps those of others, and names no source from which nothing may be copied', async () => {
+    const network = new FakeNetwork(['a', 'b', 'c'])
+    const before: number[] = []
+    for (const session of [77, 78]) before.push((await network.tasks.get('a')!.resolve('pool', key(session)))!.endpoint)
+    network.hasLeft = (endpoint, session) => endpoint === before[0] && session === 77
+    network.candidatesWithout.add(before[0]!)
+    const copied = await network.tasks.get('b')!.resolve('pool', key(77))
+    network.closedToCopies.add(before[0]!)
+    const later = await network.tasks.get('c')!.resolve('pool', key(77, 6))
+    const other = await network.tasks.get('c')!.resolve('pool', key(78))
+    expect([copied!.endpoint === before[0], copied!.source, later!.source, other!.endpoint]).toEqual([false, before[0], 0, before[1]])
+  })
+
   it('chooses by itself when the owner does not respond, and does not query it again at once', async () => {
     vi.useFakeTimers()
     const network = new FakeNetwork(['a', 'b'])
--- a/src/gateway/SessionAffinityTask.ts
+++ b/src/gateway/SessionAffinityTask.ts
@@ -22,10 +22,12 @@
 
 /** The gateway's endpoints, as far as the task uses them. */
 export interface IAffinityEndpoints {
-  /** True when the endpoint with this hash is listed and not leaving. */
-  isUsable (endpoint: number): boolean
+  /** True when the endpoint with this hash may go on to serve a session that it holds: listed, not leaving, and not left by the session. */
+  isUsable (endpoint: number, session: number): boolean
   /** True when the endpoint with this hash is listed, leaving or not. */
   isListed (endpoint: number): boolean
+  /** True when prompts may be copied from the endpoint with this hash. */
+  isCopySource (endpoint: number): boolean
   /** Endpoints of a service that accept new requests. */
   candidates (service: string): Candidates
 }
@@ -73,7 +75,7 @@
   /** The engine that this gateway remembers for a session, if it is still usable. */
   #lookup (session: number): number | undefined {
     const endpoint = this.#directory.holderOf(session)
-    return endpoint !== undefined && this.#endpoints.isUsable(endpoint) ? endpoint : undefined
+    return endpoint !== undefined && this.#endpoints.isUsable(endpoint, session) ? endpoint : undefined
   }
 
   /** Decides as the owner. A session that it doesn't know may be known to the other owner, as after a restart of this gateway. */
@@ -93,10 +95,10 @@
   #decide (query: SessionQuery): SessionAffinity {
     const now = this.#clock.nowMs()
     const decidedBy = this.#peers.self.id
-    const suggested = this.#endpoints.isUsable(query.endpoint) ? query.endpoint : undefined
+    const suggested = this.#endpoints.isUsable(query.endpoint, query.session) ? query.endpoint : undefined
     const endpoint = this.#lookup(query.session) ?? suggested ?? this.#directory.choose(query, this.#endpoints.candidates(query.service), now)?.hash
     if (endpoint === undefined) return { endpoint: 0, source: 0, decidedBy }
-    const source = this.#directory.copySource(query, endpoint, e => this.#endpoints.isListed(e), now) ?? 0
+    const source = this.#directory.copySource(query, endpoint, e => this.#endpoints.isCopySource(e), now) ?? 0
     this.#directory.record(query, endpoint, now)
     return { endpoint, source, decidedBy }
   }
