--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -4,6 +4,7 @@
 import { SharedRetryBudget, type IFleetView, type RetryLimits } from '../common/limits/SharedRetryBudget.js'
 import { hashString } from '../common/Hash.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
+import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import type { ViewVersion } from '../common/peers/ViewVersion.js'
 import { acceptMs } from '../common/routing/DrainWindow.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
@@ -14,6 +15,7 @@
 import { ConfigHolder } from './ConfigHolder.js'
 import { EndpointLimiter, shareOf } from './EndpointLimiter.js'
 import { EndpointPool } from './EndpointPool.js'
+import { EvacuationHolder } from './EvacuationHolder.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
 import { GossipTask, type IGossipHost } from './GossipTask.js'
 import { MembershipTask } from './MembershipTask.js'
@@ -61,6 +63,10 @@
   readonly retryWindowMs: number
   /** Memory that the process may take. */
   readonly memoryBytes: number
+  /** Longest time until an evacuated data centre gets no more requests; undefined where none is ever evacuated. */
+  readonly evacuationMs?: number | undefined
+  /** Region of each data centre. */
+  readonly regions?: ReadonlyMap<string, string>
 }
 
 export class Gateway extends Disposable {
@@ -69,6 +75,8 @@
   readonly #log: Log
   readonly #metrics: GatewayMetrics
   readonly #config: ConfigHolder
+  /** Undefined where data centres are never evacuated. */
+  readonly #evacuations: EvacuationHolder | undefined
   readonly #pool: EndpointPool
   readonly #callerServer: CallerServer
   readonly #statusServers: StatusServer[]
@@ -86,7 +94,10 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
-    this.#pool = this.own(new EndpointPool(clock, log))
+    const { evacuationMs } = settings
+    this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
+    metrics.evacuations = () => this.#evacuations?.ages ?? []
+    this.#pool = this.own(new EndpointPool(clock, log, this.#evacuations))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
@@ -122,12 +133,14 @@
     this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
+    if (this.#evacuations !== undefined) this.own(this.#evacuations.onChange(() => this.#gossip.gossipChange()))
     this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
   }
 
   /** True when the load balancer should send callers to this gateway. */
   get ready (): boolean {
-    return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#promptGuard.isReady
+    const knowsPlatform = this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#evacuations?.isKnown !== false
+    return !this.#stopping && knowsPlatform && this.#promptGuard.isReady
   }
 
   /** Revision of the configuration in force; 0 before the first. */
@@ -142,7 +155,17 @@
 
   /** Records that the platform has no newer configuration than the one that was read last. */
   confirmConfig (): void {
-    this.#config.confirm()
+    this.#confirmConfig(0)
+  }
+
+  /** True where data centres may be evacuated. */
+  get followsEvacuations (): boolean {
+    return this.#evacuations !== undefined
+  }
+
+  /** Applies the evacuations that were read from the platform. @param ageMs time since the read began. */
+  updateEvacuations (dataCentres: readonly string[], version: ListVersion, ageMs: number): void {
+    this.#evacuations?.update(dataCentres, version, ageMs)
   }
 
   /** Applies a list of endpoints that was read from the platform; returns false when it is older than the last one. @param ageMs time since the read began. */
@@ -216,6 +239,12 @@
     this.dispose()
   }
 
+  /** Records that the platform had nothing newer `ageMs` ago: its configuration and its evacuations are read together. */
+  #confirmConfig (ageMs: number): void {
+    this.#config.confirm(ageMs)
+    this.#evacuations?.confirm(ageMs)
+  }
+
   #applyEndpoints (list: EndpointList, ageMs: number): boolean {
     const before = this.#pool.table.digest
     const applied = this.#pool.update(list, ageMs)
@@ -235,7 +264,9 @@
       mergeLoadReports: (peer, reports) => this.#pool.mergeLoadReports(peer, reports),
       limitReports: () => this.#pool.limitReports(),
       mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
-      confirmConfig: ageMs => this.#config.confirm(ageMs),
+      evacuationReport: () => this.#evacuations?.report,
+      mergeEvacuations: (peer, report) => this.#evacuations?.merge(peer, report) !== false,
+      confirmConfig: ageMs => this.#confirmConfig(ageMs),
       confirmList: (version, ageMs) => this.#pool.confirm(version, ageMs),
       fetch: (kind, from, ageMs) => {
         this.#snapshots.fetch(kind, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part: kind, err: String(e) }, 'snapshot fetch failed'))
