Keep cold endpoints within their warm-up rate

Cause: endpoints of a service with cold_per_s crash when they get the usual load while they warm up. The gateway decoded the remaining time and the rate, and used neither.

Change: WarmUp holds, for each incarnation, the time until which it is cold, from the entries of all lists, from the time when it joined, and from confirmations that it is still listed as cold. EndpointState takes the lower of the named limit and the warm-up rate. The digest of the list counts endpoints of such services as cold or warm. EndpointPool applies the entries of each list, and the configuration whenever it comes.

The path of named limits alone doesn't keep the bound for a limit that holds before the first answer: an owner that doesn't know the endpoint granted everything, shares of a token bucket were saved up and spent together, and two owners could spend their bursts at once. Gossip of named limits carries no warm-up rates.

Services without a warm-up are treated as before.

--- a/src/common/limits/AllowanceOwner.ts
+++ b/src/common/limits/AllowanceOwner.ts
@@ -18,16 +18,18 @@
 export class AllowanceOwner {
   readonly #buckets = new Map<string, AccountBucket>()
   readonly #startsFull: boolean
+  readonly #burstSec: number
 
-  /** @param startsFull false when a change of owner must not admit a burst. */
-  constructor (startsFull = true) {
+  /** @param startsFull false when a change of owner must not admit a burst. @param burstSec time for which unused admissions are kept; one always is. */
+  constructor (startsFull = true, burstSec = BURST_SEC) {
     this.#startsFull = startsFull
+    this.#burstSec = burstSec
   }
 
   /** Grants up to `count` admissions. @param fraction fraction of the rate available to this side of a partition, 0 to 1. */
   grant (account: string, ratePerSec: number, fraction: number, count: number, now: number): number {
     const rate = ratePerSec * fraction
-    const burst = Math.max(1, rate * BURST_SEC)
+    const burst = Math.max(1, rate * this.#burstSec)
     let entry = this.#buckets.get(account)
     if (entry === undefined) {
       entry = { bucket: new TokenBucket(rate, burst, now, this.#startsFull ? burst : 0), usedAt: now }
--- a/src/common/routing/EndpointState.ts
+++ b/src/common/routing/EndpointState.ts
@@ -7,6 +7,7 @@
 import type { DecayedCounts } from './DecayedCounts.js'
 import { EndpointHealth } from './EndpointHealth.js'
 import type { Endpoint } from './Types.js'
+import { WarmUp } from './WarmUp.js'
 
 const REPORT_FRESH_MS = 1_500 // a report has full weight up to this age
 const REPORT_EXPIRY_MS = 4_000 // and none from this age on
@@ -35,6 +36,7 @@
   readonly hash: number
   readonly weight = 1
   readonly health = new EndpointHealth()
+  readonly warmUp = new WarmUp()
   /** Time before which the endpoint's limit takes no further request. */
   deferredUntil = -Infinity
   #pausedUntil = -Infinity
@@ -104,11 +106,18 @@
     return this.#limit
   }
 
-  /** Requests a second that the endpoint takes from all instances together; undefined when it named no limit lately. */
-  limitPerSec (now: number): number | undefined {
+  /** Requests a second that the endpoint named as its limit; undefined when it named none lately. */
+  namedLimitPerSec (now: number): number | undefined {
     return now - this.#limit.at < LIMIT_TTL_MS ? this.#limit.requestsPerSec : undefined
   }
 
+  /** Requests a second that the endpoint takes from all instances together, by its own word or while it is cold; undefined when nothing limits them. */
+  limitPerSec (now: number): number | undefined {
+    const named = this.namedLimitPerSec(now)
+    const cold = this.warmUp.requestsPerSec(now)
+    return named === undefined || cold === undefined ? named ?? cold : Math.min(named, cold)
+  }
+
   /** Time before which the endpoint takes no further request of this instance: its limit is used up, or it asked for a pause. */
   get opensAt (): number {
     return Math.max(this.deferredUntil, this.#pausedUntil)
@@ -141,8 +150,9 @@
   /** Records the limit that the endpoint named in an answer at `at`, undefined for none; returns false when a later answer is known. */
   recordLimit (requestsPerSec: number | undefined, at: number): boolean {
     if (at <= this.#limit.at) return false
+    const isEnd = requestsPerSec === undefined && this.#limit.requestsPerSec !== undefined
     this.#limit = { requestsPerSec, at }
-    if (requestsPerSec === undefined) this.deferredUntil = -Infinity
+    if (isEnd) this.deferredUntil = -Infinity
     return true
   }
 
--- a/src/common/routing/EndpointTable.test.ts
+++ b/src/common/routing/EndpointTable.test.ts
@@ -120,4 +120,26 @@
     table.update({ version: version(400, 2), endpoints: [endpoint('a'), endpoint('b'), endpoint('c')] }, 31_000, 31_000)
     expect(table.usable('pool').map(e => e.id)).toEqual(['a', 'b', 'c'])
   })
+
+  // Gateways that read no list learn by the digest that an endpoint warms up. The remaining time changes with each heartbeat.
+  it('tells an endpoint that warms up by its digest, but not its remaining time, and only where the service has a warm-up', () => {
+    const digests = [['pool'], ['other']].map(services => [0, 3_000, 2_000, undefined].map(warmUpMs => {
+      const table = new EndpointTable()
+      table.update({ version: version(1), endpoints: [endpoint('a', { warmUpMs }), endpoint('b')] }, 0, 0)
+      table.setWarmingServices(new Set(services))
+      return table.digest
+    }))
+    const isEach = digests.map(([warm, ...cold]) => cold.map(digest => digest === warm))
+    expect([isEach, digests[0]![1] === digests[0]![2], digests[0]![2] === digests[0]![3]]).toEqual([[[false, false, false], [true, true, true]], true, true])
+  })
+
+  it('has another digest when a known endpoint turns cold or warm', () => {
+    const table = new EndpointTable()
+    table.setWarmingServices(new Set(['pool']))
+    const digests = [0, 3_000, 1_000, 0].map((warmUpMs, i) => {
+      table.update({ version: version(i + 1), endpoints: [endpoint('a', { warmUpMs })] }, i, i)
+      return table.digest
+    })
+    expect(digests.map(digest => digest === digests[0])).toEqual([true, false, false, true])
+  })
 })
--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -9,7 +9,7 @@
 import { digestOfSet } from '../Hash.js'
 import { compareVersions, newerVersion } from '../peers/ListVersion.js'
 import { DepartedEndpoints } from './DepartedEndpoints.js'
-import { endpointKey, isSameIncarnation, type Endpoint, type EndpointList } from './Types.js'
+import { endpointKey, isListedCold, isSameIncarnation, type Endpoint, type EndpointList } from './Types.js'
 
 const LIST_OUTAGE_MS = 1_500 // after failed reads for this long, entries of live endpoints may have expired
 const RECOVERY_GRACE_MS = 2_200 // live endpoints have written their entries again within 2 s of the recovery
@@ -25,6 +25,7 @@
 /** An endpoint of the last list with its part of the list's digest. */
 interface DigestedEndpoint {
   readonly endpoint: Endpoint
+  readonly cold: boolean
   readonly digest: number
 }
 
@@ -39,6 +40,8 @@
   #digest = 0
   /** By id; an endpoint that didn't change isn't hashed again. */
   #digested = new Map<string, DigestedEndpoint>()
+  /** Services whose endpoints warm up; the digest of these counts whether they are cold. */
+  #warmingServices: ReadonlySet<string> = new Set()
   #graceUntil = -Infinity
   #restoredUntil = -Infinity
   /** True while the table differs from the list by an endpoint that is retained or held as leaving. */
@@ -83,6 +86,12 @@
     return this.#endpoints.get(id)
   }
 
+  /** Sets the services whose endpoints warm up: gateways that read no list learn of a warm-up by the digest. */
+  setWarmingServices (services: ReadonlySet<string>): void {
+    this.#warmingServices = services
+    this.#updateDigest()
+  }
+
   /** Records that a list with the same endpoints, of the same or a later version, was read at `listedAt`. */
   confirm (version: ListVersion, listedAt: number, now: number): void {
     this.#version = newerVersion(this.#version, version)
@@ -138,7 +147,7 @@
 
   #updateDigest (): void {
     const before = this.#digested
-    this.#digested = new Map(this.#listed.map(e => [e.id, digestEndpoint(e, before.get(e.id))]))
+    this.#digested = new Map(this.#listed.map(e => [e.id, digestEndpoint(e, this.#warmingServices.has(e.service) && isListedCold(e), before.get(e.id))]))
     this.#digest = 0
     for (const { digest } of this.#digested.values()) this.#digest = (this.#digest + digest) >>> 0
   }
@@ -158,9 +167,10 @@
   }
 }
 
-function digestEndpoint (e: Endpoint, before: DigestedEndpoint | undefined): DigestedEndpoint {
-  if (before !== undefined && before.endpoint.leaving === e.leaving && isSameIncarnation(before.endpoint, e)) return before
-  return { endpoint: e, digest: digestOfSet([`${endpointKey(e)} ${e.leaving ? 'leaving' : ''}`]) }
+/** The remaining time isn't part of the digest, as it changes with each heartbeat. */
+function digestEndpoint (e: Endpoint, cold: boolean, before: DigestedEndpoint | undefined): DigestedEndpoint {
+  if (before !== undefined && before.cold === cold && before.endpoint.leaving === e.leaving && isSameIncarnation(before.endpoint, e)) return before
+  return { endpoint: e, cold, digest: digestOfSet([`${endpointKey(e)} ${e.leaving ? 'leaving' : ''}${cold ? ' cold' : ''}`]) }
 }
 
 function groupUsable (endpoints: Iterable<Endpoint>): Map<string, readonly Endpoint[]> {
--- a/src/common/routing/LimitReports.ts
+++ b/src/common/routing/LimitReports.ts
@@ -23,7 +23,7 @@
   select (now: number): GossipedLimit[] {
     const reports: GossipedLimit[] = []
     for (const state of this.#limited) {
-      if (state.limitPerSec(now) === undefined && now - state.limit.at > ENDED_TTL_MS) this.#limited.delete(state)
+      if (state.namedLimitPerSec(now) === undefined && now - state.limit.at > ENDED_TTL_MS) this.#limited.delete(state)
       else reports.push(createReport(state, now))
     }
     return reports.sort((a, b) => a.ageMs - b.ageMs).slice(0, MAX_REPORTS)
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -134,6 +134,11 @@
   readonly slots: number
 }
 
+/** True when the entry says that the endpoint warms up, or doesn't say that it has. */
+export function isListedCold (e: Endpoint): boolean {
+  return e.warmUpMs === undefined || e.warmUpMs > 0
+}
+
 /** True when both are the same incarnation of an endpoint; cheaper than comparing their keys. */
 export function isSameIncarnation (a: Endpoint, b: Endpoint): boolean {
   return a.id === b.id && a.startedAtMs === b.startedAtMs && a.service === b.service && a.address === b.address && a.port === b.port
--- a/src/gateway/EndpointLimiter.test.ts
+++ b/src/gateway/EndpointLimiter.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { hashString } from '../common/Hash.js'
 import { FleetCount } from '../common/membership/FleetCount.js'
 import { EndpointState } from '../common/routing/EndpointState.js'
 import { SeededRandom } from '../common/SeededRandom.js'
@@ -39,8 +40,10 @@
     state.recordLimit(limitPerSec, clock.nowMs())
     const peers = this.network.join(id)
     const limiter: EndpointLimiter = new EndpointLimiter(clock, endpoint => permits.take('endpoint', endpoint),
-      () => this.isKnown ? { gateways: GATEWAYS, reachable: peers.usable().items.length / GATEWAYS } : shareOf(new FleetCount(3), 1))
-    const permits: PermitTask = new PermitTask(peers, clock, { part: () => ({ granted: true, waitMs: 0 }), endpoint: (_, now) => limiter.issue(state, now) })
+      () => this.isKnown ? { gateways: GATEWAYS, reachable: peers.usable().items.length / GATEWAYS } : shareOf(new FleetCount(3), 1), hashString(id))
+    const permits: PermitTask = new PermitTask(peers, clock, {
+      part: () => ({ granted: true, waitMs: 0 }), endpoint: (_, now) => limiter.issue(state, now), cold: (_, now) => limiter.issueCold(state, now)
+    })
     this.gateways.set(id, { state, limiter })
   }
 
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -9,9 +9,10 @@
 import { EndpointTable } from '../common/routing/EndpointTable.js'
 import { LimitReports } from '../common/routing/LimitReports.js'
 import { LOAD_REPORT_TTL_MS, LoadReports, MIN_REPORTED_OUTCOMES } from '../common/routing/LoadReports.js'
-import type { Endpoint, EndpointList } from '../common/routing/Types.js'
+import type { Endpoint, EndpointList, Service, WarmUpLimit } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
+import { ColdEndpoints } from './ColdEndpoints.js'
 import { EndpointAgent } from './EndpointAgent.js'
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
@@ -40,6 +41,7 @@
   readonly #reports = new LoadReports()
   readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
+  readonly #cold: ColdEndpoints
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
@@ -47,10 +49,11 @@
     super()
     this.#clock = clock
     this.#log = log
+    this.#cold = new ColdEndpoints(log)
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
-      else this.#getOrCreate(endpoint)
+      else this.#getOrCreate(endpoint, sinceListMs !== Infinity)
       this.#log.info({ step: 'endpoints', endpoint: endpoint.id, service: endpoint.service, dataCentre: endpoint.dataCentre, kind, sinceListMs: Math.round(sinceListMs) }, 'endpoint')
     }))
     this.own(this.table.onRegroup(services => this.#regroup(services)))
@@ -67,6 +70,7 @@
     const own = this.table.version
     const applied = this.table.update(list, now - ageMs, now)
     if (applied) {
+      this.#cold.recordList(list, id => this.#states.get(id), now - ageMs, now)
       this.#ignoredLists = 0
       if (own.epoch > 0 && list.version.epoch > own.epoch) this.#log.warn({ step: 'endpoints', version: list.version, own }, 'platform was restored from a copy')
     } else if (this.#ignoredLists++ === 0) {
@@ -79,6 +83,20 @@
   confirm (version: ListVersion, ageMs: number): void {
     const now = this.#clock.nowMs()
     this.table.confirm(version, now - ageMs, now)
+    this.#cold.recordSameList(now - ageMs, now)
+  }
+
+  /** Applies the warm-up of the services in the configuration in force. */
+  updateServices (services: readonly Service[]): void {
+    const limits = new Map<string, WarmUpLimit>()
+    for (const { id, warmUp } of services) if (warmUp !== undefined) limits.set(id, warmUp)
+    this.#cold.setLimits(limits, this.#states.values(), this.#clock.nowMs())
+    this.table.setWarmingServices(new Set(limits.keys()))
+  }
+
+  /** Number of cold endpoints when the list was last read. */
+  get coldEndpoints (): number {
+    return this.#cold.size
   }
 
   /** Records that a read of the list which began `ageMs` ago failed. */
@@ -237,12 +255,14 @@
     }
   }
 
-  #getOrCreate (e: Endpoint): PooledEndpoint {
+  /** @param isNews true when the endpoint joined after the first list. */
+  #getOrCreate (e: Endpoint, isNews = false): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
       state = new PooledEndpoint(e)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
+      this.#cold.add(state, isNews, this.#clock.nowMs())
     }
     return state
   }
@@ -255,6 +275,7 @@
     this.#states.delete(e.id)
     this.#reports.remove(state)
     this.#limits.remove(state)
+    this.#cold.remove(state)
     if (this.#byHash.get(state.hash) === state) this.#byHash.delete(state.hash)
   }
 }
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -1,6 +1,7 @@
 /** Chooses the endpoint for each attempt of one request, and takes an admission of those that named a limit. */
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
+import type { EndpointState } from '../common/routing/EndpointState.js'
 import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
@@ -51,15 +52,25 @@
 
   /** Chooses an endpoint that wasn't tried; undefined when none is left or takes a request. */
   async select (): Promise<EndpointChoice | undefined> {
-    const { limiter, metrics } = this.#services
+    const { metrics } = this.#services
     for (;;) {
       const choice = await this.#choose()
-      if (choice !== undefined && limiter.isLimited(choice.state) && !await limiter.admit(choice.state)) continue
+      if (choice !== undefined && !await this.#admit(choice.state)) continue
       if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
       return choice
     }
   }
 
+  /** Takes an admission of an endpoint that named a limit or is cold; others admit all. */
+  async #admit (state: EndpointState): Promise<boolean> {
+    const { limiter, metrics, clock } = this.#services
+    if (!limiter.isLimited(state)) return true
+    const limit = state.warmUp.isCold(clock.nowMs()) ? 'warm-up' : 'named'
+    const admitted = await limiter.admit(state)
+    metrics.admissions.inc({ limit, result: admitted ? 'granted' : 'refused' })
+    return admitted
+  }
+
   /** Time in ms until an endpoint that is at its limit, or in a pause, may take a request; undefined when none is. */
   openWaitMs (): number | undefined {
     return this.#candidates().openWaitMs()
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -95,6 +95,8 @@
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
       metrics.configRevision.set(revision)
+      this.#pool.updateServices(services)
+      this.#countCold()
     }))
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
     this.#peers = this.own(new MembershipTask(self, settings.seeds, clock, random, metrics, log, () => this.#config.revision))
@@ -103,10 +105,12 @@
     const sessionAffinity = this.own(new SessionAffinityTask(this.#peers, clock, this.#pool))
     this.#promptGuard = this.own(new PromptGuard(this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting))
     this.own(this.#pool.table.onChange(({ endpoint, kind }) => { if (kind === 'gone') this.#promptGuard.recordGone(endpoint) }))
-    const limiter: EndpointLimiter = new EndpointLimiter(clock, endpoint => permits.take('endpoint', endpoint), () => shareOf(this.#peers.fleet, this.#peers.usable().items.length))
+    const limiter: EndpointLimiter = new EndpointLimiter(clock, (endpoint, scope) => permits.take(scope, endpoint),
+      () => shareOf(this.#peers.fleet, this.#peers.usable().items.length), hashString(settings.id))
     const permits: PermitTask = this.own(new PermitTask(this.#peers, clock, {
       part: (part, now) => this.#promptGuard.issueTrial(part, now),
-      endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now)
+      endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now),
+      cold: (endpoint, now) => limiter.issueCold(this.#pool.get(endpoint), now)
     }))
     const services = {
       clock,
@@ -223,10 +227,15 @@
   #applyEndpoints (list: EndpointList, ageMs: number): boolean {
     const before = this.#pool.table.digest
     const applied = this.#pool.update(list, ageMs)
+    this.#countCold()
     if (this.#pool.table.digest !== before) this.#gossip.gossipChange()
     return applied
   }
 
+  #countCold (): void {
+    this.#metrics.coldEndpoints.set(this.#pool.coldEndpoints)
+  }
+
   #viewVersion (): ViewVersion {
     const { version: listVersion, digest: listDigest } = this.#pool.table
     return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listVersion, listDigest, listAgeMs: this.#pool.listAgeMs }
@@ -240,7 +249,10 @@
       limitReports: () => this.#pool.limitReports(),
       mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
       confirmConfig: ageMs => this.#config.confirm(ageMs),
-      confirmList: (version, ageMs) => this.#pool.confirm(version, ageMs),
+      confirmList: (version, ageMs) => {
+        this.#pool.confirm(version, ageMs)
+        this.#countCold()
+      },
       fetch: (kind, from, ageMs) => {
         this.#snapshots.fetch(kind, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part: kind, err: String(e) }, 'snapshot fetch failed'))
       }
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -18,6 +18,7 @@
 
   readonly attempts = new Counter({ name: 'radishloft_attempts_total', help: 'Attempts at endpoints by result.', labelNames: ['service', 'result'], registers: [this.registry] })
   readonly retries = new Counter({ name: 'radishloft_retries_total', help: 'Decisions on the retry budget that all gateways share.', labelNames: ['service', 'result'], registers: [this.registry] })
+  readonly admissions = new Counter({ name: 'radishloft_admissions_total', help: 'Admissions asked for endpoints with a limit, by result.', labelNames: ['limit', 'result'], registers: [this.registry] })
   readonly placements = new Counter({ name: 'radishloft_placements_total', help: 'Placements by reason.', labelNames: ['reason'], registers: [this.registry] })
   readonly platformCalls = new Counter({ name: 'radishloft_platform_calls_total', help: 'Calls to the platform by kind and result.', labelNames: ['kind', 'result'], registers: [this.registry] })
   readonly controlBytes = new Counter({
@@ -26,6 +27,7 @@
 
   readonly inFlight = new Gauge({ name: 'radishloft_in_flight_requests', help: 'Requests accepted from callers and not yet ended.', registers: [this.registry] })
   readonly knownGateways = new Gauge({ name: 'radishloft_known_gateways', help: 'Gateways among which the retry burst is divided.', registers: [this.registry] })
+  readonly coldEndpoints = new Gauge({ name: 'radishloft_cold_endpoints', help: 'Endpoints that warm up, as of the last list.', registers: [this.registry] })
   readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
 
   /** Counts bytes between instances that carry no request. */
--- a/src/gateway/PermitTask.ts
+++ b/src/gateway/PermitTask.ts
@@ -18,8 +18,8 @@
   readonly waitMs: number
 }
 
-/** What permits are issued for. */
-export type PermitScope = 'part' | 'endpoint'
+/** What permits are issued for: a trial of a part of a prompt, a request to an endpoint that named a limit, one to a cold endpoint. */
+export type PermitScope = 'part' | 'endpoint' | 'cold'
 
 /** Issues permits, on the owner of a subject. @param key hash of the subject. */
 export type PermitIssuer = (key: number, now: number) => Permit
@@ -58,7 +58,7 @@
   #issue ({ id, seq, subject }: AllowanceDatagram): void {
     const [scope, key] = subject.split(':')
     const to = this.#peers.address(id)
-    if (to === undefined || (scope !== 'part' && scope !== 'endpoint')) return
+    if (to === undefined || (scope !== 'part' && scope !== 'endpoint' && scope !== 'cold')) return
     const { granted, waitMs } = this.#issuers[scope](Number(key), this.#clock.nowMs())
     this.#peers.send(to, { kind: 'grant', seq, id: this.#peers.self.id, subject, count: granted ? 1 : 0, waitMs })
   }
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -35,7 +35,9 @@
     const peers = this.network.join(id)
     const log = pino({ level: 'silent' })
     const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), async e => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused'))
-    const permits = new PermitTask(peers, clock, { part: (part, now) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }) })
+    const permits = new PermitTask(peers, clock, {
+      part: (part, now) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }), cold: () => ({ granted: true, waitMs: 0 })
+    })
     this.guards.set(id, guard)
     guard.start()
     return guard
