--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -21,7 +21,10 @@
   readonly mayWrite?: () => boolean
 }
 
-/** Why an exchange ended without a complete response; `withdrawn` when the request was not to be written any more, `invalid` when what arrived isn't a final response. */
+/**
+ * Why an exchange ended without a complete response; `withdrawn` when the request was not to be written any more, `invalid` when what
+ * arrived isn't a final response.
+ */
 export type ExchangeFailure = 'connect' | 'withdrawn' | 'reset' | 'aborted' | 'invalid'
 
 /** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -1,6 +1,7 @@
 /** Chooses the endpoint for each attempt of one request, and takes an admission of those that named a limit. */
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
+import type { EndpointState } from '../common/routing/EndpointState.js'
 import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
@@ -53,10 +54,10 @@
 
   /** Chooses an endpoint that wasn't tried; undefined when none is left or takes a request. */
   async select (): Promise<EndpointChoice | undefined> {
-    const { limiter, metrics } = this.#services
+    const { metrics } = this.#services
     for (;;) {
       const choice = await this.#choose()
-      if (choice !== undefined && limiter.isLimited(choice.state) && !(await limiter.admit(choice.state) && this.isOpen(choice))) continue
+      if (choice !== undefined && !await this.#admit(choice)) continue
       if (choice !== undefined) metrics.placements.inc({ reason: choice.reason })
       return choice
     }
@@ -72,6 +73,17 @@
     return this.#services.pool.hasEvacuated(this.#service)
   }
 
+  /** Takes an admission of an endpoint that named a limit or is cold; others admit all. False also when the data centre was evacuated meanwhile. */
+  async #admit (choice: EndpointChoice): Promise<boolean> {
+    const { limiter, metrics, clock } = this.#services
+    const { state } = choice
+    if (!limiter.isLimited(state)) return true
+    const limit = state.warmUp.isCold(clock.nowMs()) ? 'warm-up' : 'named'
+    const admitted = await limiter.admit(state)
+    metrics.admissions.inc({ limit, result: admitted ? 'granted' : 'refused' })
+    return admitted && this.isOpen(choice)
+  }
+
   /** Time in ms until an endpoint that is at its limit, or in a pause, may take a request; undefined when none is. */
   openWaitMs (): number | undefined {
     return this.#candidates().openWaitMs()
