Remember the parts of whole answers when engines end

Callers saw: prompts that share a template with broken answers were refused after each second crash, until an answer on the template that ended after it, though the template had been in whole answers all along.

Cause: a whole answer refuted only crashes that were known when it ended; the next crashes counted in full.

Change: once an engine has ended, an instance remembers the parts of whole answers for 60 s (2,048 parts), and takes a crash on one of them as refuted, in what it learns from peers too, and passes that on. A fatal part never has a whole answer. Nothing is remembered before the first crash.

The new test fails without the change.

--- a/src/common/routing/PartEvidence.test.ts
+++ b/src/common/routing/PartEvidence.test.ts
@@ -76,6 +76,16 @@
     expect([stateOf(evidence, 1), stateOf(evidence, FATAL)]).toEqual(['sound', 'blocked'])
   })
 
+  // A template in every prompt was suspect after each second crash, until an answer on it that ended later: callers were refused meanwhile.
+  it('does not hold back a part that was in a whole answer lately, and forgets that after a while', () => {
+    const evidence = evidenceOf([[FATAL, 1]])
+    evidence.recordSound([1, 2], 400)
+    const news = [2, 3].flatMap(engine => evidence.recordCrash([FATAL, 1, 2], engine, 0, APART_MS * engine))
+    const states = [stateOf(evidence, 1), stateOf(evidence, 2), stateOf(evidence, FATAL)]
+    for (const engine of [4, 5, 6]) evidence.recordCrash([2], engine, 0, 100_000 * engine)
+    expect([news.filter(n => n.refuted).length, states, stateOf(evidence, 2)]).toEqual([4, ['sound', 'sound', 'blocked'], 'blocked'])
+  })
+
   it('holds nothing against parts that were only beside the fatal one', () => {
     const evidence = evidenceOf([[FATAL, 1, 2], [FATAL, 1, 3], [FATAL, 1, 4], [FATAL, 5]])
     expect([1, 2, 3, 4, 5, FATAL].map(part => stateOf(evidence, part))).toEqual(['sound', 'sound', 'sound', 'sound', 'sound', 'blocked'])
--- a/src/common/routing/PartEvidence.ts
+++ b/src/common/routing/PartEvidence.ts
@@ -2,7 +2,7 @@
  * Evidence that a part of prompts ends the engines that answer it. Designed for requests that share one part and nothing
  * else, come at any instance, and end each engine as it begins to answer, beside sound requests that share their other
  * parts and their engines. A part is assessed by the engines that ended when an answer on it was young, unless an answer on it
- * was whole after that: other requests on an engine that ends have whole answers elsewhere, these never have. The evidence
+ * was whole after that or shortly before: other requests on an engine that ends have whole answers elsewhere, these never have. The evidence
  * of instances is joined as a set, so it may arrive in any order, any number of times.
  */
 import type { PartCrash } from '../generated/PeerDatagram.js'
@@ -19,6 +19,8 @@
 const MAX_TRIAL_MS = 3_600_000
 const CRASH_TTL_MS = 600_000 // an earlier crash is no evidence, unless the part is blocked
 const KEPT_MS = CRASH_TTL_MS + MAX_TRIAL_MS // crashes of blocked parts, and refutations, which must outlast what they refute
+const SOUND_MEMORY_MS = 60_000 // time before a crash in which a whole answer on a part shows that the part isn't the cause
+const MAX_SOUND = 2_048 // parts of whole answers that are remembered
 const MAX_PARTS = 512
 const ROOM_FOR_PARTS = 64 // made when there are more
 const EXPIRY_INTERVAL_MS = 1_000
@@ -65,6 +67,8 @@
   readonly #summaries = new Map<number, CrashSummary>()
   /** Parts with enough crashes to be suspect; few, so that they may be compared with each other. */
   readonly #suspects = new Set<number>()
+  /** Times of the last whole answer on a part since the first crash, the latest last. */
+  readonly #soundAt = new Map<number, number>()
   #states: ReadonlyMap<number, PartState> = new Map()
   #blocked: ReadonlySet<number> = new Set()
   #expiredAt = -Infinity
@@ -119,6 +123,7 @@
   /** Records an answer on these parts that shows them to be sound; returns what is new. */
   recordSound (parts: readonly number[], now: number): PartCrash[] {
     if (this.isEmpty) return []
+    for (const part of parts) this.#rememberSound(part, now)
     const refutations = parts.flatMap(part => [...this.#parts.get(part) ?? []]
       .filter(([, crash]) => !crash.refuted)
       .map(([endpoint, { at, confirmed }]) => toReport(part, endpoint, { at, confirmed, refuted: true }, now)))
@@ -127,7 +132,9 @@
 
   /** Joins evidence with that of this instance; returns what is new. */
   merge (reports: readonly PartCrash[], now: number): PartCrash[] {
-    const news = reports.filter(report => this.#join(report, now))
+    const news = reports
+      .map(report => report.refuted || !this.#wasSound(report, now) ? report : { ...report, refuted: true })
+      .filter(report => this.#join(report, now))
     if (news.length === 0) return news
     for (const { part } of news) this.#summarise(part)
     this.#compare()
@@ -146,6 +153,18 @@
     return reports.slice(0, max)
   }
 
+  #rememberSound (part: number, now: number): void {
+    this.#soundAt.delete(part)
+    this.#soundAt.set(part, now)
+    const [oldest] = this.#soundAt.keys()
+    if (this.#soundAt.size > MAX_SOUND && oldest !== undefined) this.#soundAt.delete(oldest)
+  }
+
+  /** True when an answer on the part was whole here after the crash, or shortly before. */
+  #wasSound ({ part, ageMs }: PartCrash, now: number): boolean {
+    return now - ageMs - (this.#soundAt.get(part) ?? -Infinity) <= SOUND_MEMORY_MS
+  }
+
   /** Joins one report: the earliest time counts, and a refutation outlasts what it refutes. */
   #join ({ part, endpoint, ageMs, refuted, unconfirmed }: PartCrash, now: number): boolean {
     const at = now - ageMs
