--- a/src/gateway/EndpointExchange.test.ts
+++ b/src/gateway/EndpointExchange.test.ts
@@ -88,8 +88,8 @@
       socket.write(LENGTH_DELIMITED)
     })
     const agent = new EndpointAgent()
-    const withdrawn = { mayWrite: () => false }
-    const outcomes = [await exchange(agent, port, undefined, withdrawn), await exchange(agent, port), await exchange(agent, port, undefined, withdrawn)]
+    const refuse = { mayWrite: () => false }
+    const outcomes = [await exchange(agent, port, undefined, refuse), await exchange(agent, port), await exchange(agent, port, undefined, refuse)]
     await new Promise(resolve => setTimeout(resolve, 50))
     agent.destroy()
     const withdrawn = { result: 'withdrawn', status: 0, body: '', sent: false }
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -1,7 +1,6 @@
 /** Chooses the endpoint for each attempt of one request, and takes an admission of those that named a limit. */
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
-import type { EndpointState } from '../common/routing/EndpointState.js'
 import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
