--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -212,7 +212,7 @@
     this.#log.info({ step: 'start', callers: `${callers.address}:${callers.port}` }, 'listening')
   }
 
-  /** Applies settings that changed at run time; addresses keep their values from the start. */
+  /** Applies settings that changed at run time; addresses and the bound of evacuations keep their values from the start. */
   reload (settings: GatewaySettings): void {
     const { graceMs, retryRatio, retryBurst, retryWindowMs } = settings
     this.#settings = { ...this.#settings, graceMs, retryRatio, retryBurst, retryWindowMs }
