Take no list from a peer that has read none

Cause: gateways that start together gossip before their first list. The version of no list (0, 0) with its age, sent as an hour, confirmed the receiver's missing list. It counted as an empty first list: the gateway was ready without endpoints, and with the first real list all endpoints looked as if they had joined later. Seen in an end-to-end test of warm-up, where four of five gateways took each endpoint as cold at the start and 201 of 713 requests were refused.

Change: such a version is neither confirmed nor fetched.

--- a/src/common/peers/Peers.test.ts
+++ b/src/common/peers/Peers.test.ts
@@ -29,6 +29,13 @@
     ]
     expect(actions).toEqual(['fetch', 'fetch', 'confirm', 'ignore'])
   })
+
+  // At the start of a fleet a gateway took an empty list, an hour old, from a peer that had read none, and all endpoints for new ones after it.
+  it('is no list while the peer has read none', () => {
+    const none: ViewVersion = { ...view, listVersion: { epoch: 0, revision: 0 }, listDigest: 0 }
+    const actions = [compareList({ ...none, listAgeMs: Infinity }, { ...none, listAgeMs: 3_600_000 }), compareList({ ...none, listAgeMs: Infinity }, view)]
+    expect(actions).toEqual(['ignore', 'fetch'])
+  })
 })
 
 describe('reader election, for many instances that need the same few values', () => {
--- a/src/common/peers/ViewVersion.ts
+++ b/src/common/peers/ViewVersion.ts
@@ -22,10 +22,15 @@
   return peer.configRevision === own.configRevision && peer.configAgeMs < own.configAgeMs ? 'confirm' : 'ignore'
 }
 
-/** Compares a peer's list of endpoints with ours. A later list with the same content confirms ours. */
+/** Compares a peer's list of endpoints with ours. A later list with the same content confirms ours; a peer that has read none tells nothing. */
 export function compareList (own: ViewVersion, peer: ViewVersion): GossipAction {
-  if (compareVersions(peer.listVersion, own.listVersion) < 0) return 'ignore'
+  if (!isRead(peer.listVersion) || compareVersions(peer.listVersion, own.listVersion) < 0) return 'ignore'
   const isSameEpoch = peer.listVersion.epoch === own.listVersion.epoch
   if (isSameEpoch && peer.listAgeMs >= own.listAgeMs) return 'ignore'
   return peer.listDigest === own.listDigest ? 'confirm' : 'fetch'
 }
+
+/** False for the version of a gateway that has no list yet. */
+function isRead (version: ListVersion): boolean {
+  return version.epoch > 0 || version.revision > 0
+}
