Keep restricted requests within their allowed regions

Cause: allowed_regions of routes and accounts was decoded and not used.

Change: the regions that the route and the account both allow narrow all choices of the gateway's endpoints, last resorts too. Queries to the owner of a session name them and the session's key covers them, so sessions that share a prompt but not the list have records and engines of their own. Owners and gateways take sources of copies inside the regions only; an owner's answer outside of them, as by an earlier version, is dropped. Without an allowed endpoint a request is refused as not run.

Where no route and no account has a list, datagrams and choices are as before.

--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -9,6 +9,7 @@
 import { EndpointTable } from '../common/routing/EndpointTable.js'
 import { LimitReports } from '../common/routing/LimitReports.js'
 import { LOAD_REPORT_TTL_MS, LoadReports, MIN_REPORTED_OUTCOMES } from '../common/routing/LoadReports.js'
+import { RegionFilter, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import type { Endpoint, EndpointList, Service, WarmUpLimit } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -23,6 +24,8 @@
   readonly tried?: ReadonlySet<string>
   /** Data centre outside of which no endpoint is taken while it has one left. */
   readonly only?: string | undefined
+  /** Regions outside of which no endpoint is taken at all. */
+  readonly regions?: AllowedRegions
 }
 
 /** State of an endpoint with its connections. */
@@ -42,14 +45,17 @@
   readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
   readonly #cold: ColdEndpoints
+  readonly #regionFilter: RegionFilter
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
-  constructor (clock: IClock, log: Log) {
+  /** @param regionOf region of each data centre. */
+  constructor (clock: IClock, log: Log, regionOf: ReadonlyMap<string, string> = new Map()) {
     super()
     this.#clock = clock
     this.#log = log
     this.#cold = new ColdEndpoints(log)
+    this.#regionFilter = new RegionFilter(regionOf)
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
@@ -104,6 +110,12 @@
     this.table.recordReadFailure(this.#clock.nowMs() - ageMs)
   }
 
+  /** True when the endpoint with this hash is listed and in these regions. */
+  isWithin (hash: number, regions: AllowedRegions): boolean {
+    const state = this.#byHash.get(hash)
+    return state !== undefined && this.#regionFilter.allows(state.endpoint.dataCentre, regions)
+  }
+
   /** True when the endpoint with this hash is listed and not leaving. */
   isUsable (hash: number): boolean {
     const state = this.#byHash.get(hash)
@@ -198,10 +210,12 @@
   }
 
   /** Endpoints of a service that accept new requests of this scope. */
-  candidates (service: string, { tried = NONE_TRIED, only }: PlacementScope = {}): Candidates {
+  candidates (service: string, { tried = NONE_TRIED, only, regions }: PlacementScope = {}): Candidates {
     const now = this.#clock.nowMs()
     const isReachable = (dataCentre: string): boolean => (only === undefined || dataCentre === only) && !this.#reachability.isEjected(dataCentre, now)
-    return new Candidates(this.#group(service), { tried, isReachable }, now)
+    if (regions === undefined) return new Candidates(this.#group(service), { tried, isReachable }, now)
+    const isAllowed = (dataCentre: string): boolean => this.#regionFilter.allows(dataCentre, regions)
+    return new Candidates(this.#group(service), { tried, isReachable, isAllowed }, now)
   }
 
   /** Records the outcome of a request; the endpoint may be ejected, or its data centre marked as unreachable. */
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -3,6 +3,7 @@
 import type { Candidates } from '../common/routing/Candidates.js'
 import type { EndpointState } from '../common/routing/EndpointState.js'
 import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { keyWithin, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { EndpointLimiter } from './EndpointLimiter.js'
@@ -29,15 +30,18 @@
   readonly #services: SelectorServices
   readonly #service: string
   readonly #request: RoutedRequest
+  readonly #regions: AllowedRegions
   readonly #tried = new Set<string>()
   #affinity: SessionAffinity | undefined
   #sessionLine: SessionLine | undefined
   #connectFailures = 0
 
-  constructor (services: SelectorServices, service: string, request: RoutedRequest) {
+  /** @param regions regions whose endpoints may get the request. */
+  constructor (services: SelectorServices, service: string, request: RoutedRequest, regions?: AllowedRegions) {
     this.#services = services
     this.#service = service
     this.#request = request
+    this.#regions = regions
   }
 
   /** How the session's engine was found; undefined for requests without a prompt. */
@@ -89,7 +93,8 @@
   promptSource (state: PooledEndpoint): Endpoint | undefined {
     if (this.#affinity === undefined) return undefined
     const { endpoint, source } = this.#affinity
-    const engine = this.#services.pool.getReachable(state.hash === endpoint ? source : endpoint)
+    const holder = state.hash === endpoint ? source : endpoint
+    const engine = this.#services.pool.isWithin(holder, this.#regions) ? this.#services.pool.getReachable(holder) : undefined
     return engine?.health.isAvailable(this.#services.clock.nowMs()) === true ? engine.endpoint : undefined
   }
 
@@ -102,10 +107,10 @@
   /** Looks up the session's engine once; further attempts reuse the result. */
   async #chooseEngine (prompt: Prompt): Promise<EndpointChoice | undefined> {
     const { clock, sessionAffinity } = this.#services
-    const key = promptKey(prompt)
+    const key = keyWithin(this.#regions, promptKey(prompt))
     if (this.#affinity === undefined) {
       const startedAt = clock.nowMs()
-      this.#affinity = await sessionAffinity.resolve(this.#service, key)
+      this.#affinity = await sessionAffinity.resolve(this.#service, key, this.#regions)
       this.#sessionLine = { id: key.session, by: this.#affinity?.decidedBy ?? '', ms: Math.round(clock.nowMs() - startedAt) }
     }
     return placePrompt(key.session, this.#affinity?.endpoint, this.#candidates(), clock.nowMs())
@@ -114,6 +119,7 @@
   /** After connections to several endpoints failed, those of the own data centre: this one may be cut off from the others. */
   #candidates (): Candidates {
     const { pool, dataCentre } = this.#services
-    return pool.candidates(this.#service, { tried: this.#tried, only: this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre })
+    const only = this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre
+    return pool.candidates(this.#service, { tried: this.#tried, only, regions: this.#regions })
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -90,7 +90,7 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
-    this.#pool = this.own(new EndpointPool(clock, log))
+    this.#pool = this.own(new EndpointPool(clock, log, settings.regions))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -3,6 +3,7 @@
 import { hashString } from '../common/Hash.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { allowedRegions, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import { streamIdleMs } from '../common/routing/StreamIdle.js'
 import type { Account, Route } from '../common/routing/Types.js'
 import type { ConnectProbe } from '../router/engines/ConnectProbe.js'
@@ -59,6 +60,7 @@
   readonly #response: CallerResponse
   readonly #deadlineAt: number
   readonly #eventStream: EventStream | undefined
+  readonly #regions: AllowedRegions
   readonly #selector: EndpointSelector
   readonly #retries: RetryPolicy
   readonly #attemptLines: AttemptLine[] = []
@@ -74,8 +76,9 @@
     this.#services = services
     this.#context = context
     this.#response = response
-    const { route, request, startedAt } = context
-    this.#selector = new EndpointSelector(services, context.service, request)
+    const { route, account, request, startedAt } = context
+    this.#regions = allowedRegions(route, account)
+    this.#selector = new EndpointSelector(services, context.service, request, this.#regions)
     this.#retries = new RetryPolicy(services, context.service, route.maxAttempts)
     this.#deadlineAt = startedAt + Math.min(request.timeoutMs ?? Infinity, route.timeoutMs)
     this.#retryable = route.idempotent || (route.streaming && route.resumable)
@@ -122,7 +125,7 @@
   #noChoiceError (): RouteError {
     const waitMs = this.#selector.openWaitMs()
     if (waitMs !== undefined) return this.#createError('limit_reached', 'all endpoints are at their limits or want a pause', this.#spread(waitMs))
-    return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
+    return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', `no endpoint is left to try${this.#regions === undefined ? '' : ` in the regions ${this.#regions.join(', ')}`}`)
   }
 
   /** Spreads the return of callers that are refused together. */
--- a/src/gateway/SessionAffinityTask.test.ts
+++ b/src/gateway/SessionAffinityTask.test.ts
@@ -5,14 +5,15 @@
 import { EndpointGroup } from '../common/routing/EndpointGroup.js'
 import { EndpointState } from '../common/routing/EndpointState.js'
 import type { PromptKey } from '../common/routing/PromptPlacement.js'
+import { keyWithin, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import { FakeClock, listOf } from '../common/TestUtils.test.js'
 import type { InstanceAddress } from '../common/Types.js'
 import type { SessionAffinity } from './OwnerQueries.js'
 import { SessionAffinityTask } from './SessionAffinityTask.js'
 
 const key = (session: number, template = 5): PromptKey => ({ session, template, sessionTokens: 800, templateTokens: 100 })
-const engine = (id: string): EndpointState => new EndpointState({
-  id, service: 'pool', address: '10.0.0.1', port: 80, dataCentre: 'dc', slots: 8, leaving: false, startedAtMs: 0, warmUpMs: 0
+const engine = (id: string, dataCentre = 'dc'): EndpointState => new EndpointState({
+  id, service: 'pool', address: '10.0.0.1', port: 80, dataCentre, slots: 8, leaving: false, startedAtMs: 0, warmUpMs: 0
 })
 
 const addressOf = (id: string): InstanceAddress => ({ id, dataCentre: 'dc', address: id, peerPort: 1 })
@@ -22,7 +23,7 @@
   readonly tasks = new Map<string, SessionAffinityTask>()
   readonly clock = new FakeClock()
   readonly #receivers = new Map<string, Emitter<PeerDatagram>>()
-  readonly engines = ['e1', 'e2', 'e3'].map(engine)
+  readonly engines = ['e1', 'e2', 'e3'].map(id => engine(id))
   /** Gateways that are members; others neither send nor receive. */
   readonly alive: string[]
   /** Members that receive nothing. */
@@ -30,6 +31,8 @@
   readonly leaving = new Set<number>()
   sent = 0
   cut = false
+  /** True when gateways drop the restriction from queries, as an earlier version does. */
+  isEarlier = false
 
   constructor (ids: readonly string[]) {
     this.alive = [...ids]
@@ -51,7 +54,8 @@
     this.tasks.set(id, new SessionAffinityTask(peers, this.clock, {
       isUsable: hash => this.engines.some(e => e.hash === hash) && !this.leaving.has(hash),
       isListed: hash => this.engines.some(e => e.hash === hash),
-      candidates: () => this.#candidates(this.clock.nowMs())
+      isWithin: (hash, regions) => this.engines.some(e => e.hash === hash && this.#isIn(e.endpoint.dataCentre, regions)),
+      candidates: (_, { regions }) => this.#candidates(this.clock.nowMs(), regions)
     }))
   }
 
@@ -66,14 +70,20 @@
     return endpoint
   }
 
-  #candidates (now: number): Candidates {
+  /** In this network a region has one data centre, of the same name. */
+  #isIn (dataCentre: string, regions: AllowedRegions): boolean {
+    return regions?.includes(dataCentre) !== false
+  }
+
+  #candidates (now: number, regions?: AllowedRegions): Candidates {
     const group = new EndpointGroup(this.engines.filter(e => !this.leaving.has(e.hash)), now)
-    return new Candidates(group, { tried: new Set(), isReachable: () => true }, now)
+    return new Candidates(group, { tried: new Set(), isReachable: () => true, isAllowed: dataCentre => this.#isIn(dataCentre, regions) }, now)
   }
 
   #send (to: InstanceAddress, datagram: PeerDatagram): void {
     this.sent++
-    if (!this.cut && !this.silent.has(to.id) && this.alive.includes(to.id)) this.#receivers.get(to.id)!.fire(datagram)
+    const sent = this.isEarlier && 'regions' in datagram ? { ...datagram, regions: undefined } : datagram
+    if (!this.cut && !this.silent.has(to.id) && this.alive.includes(to.id)) this.#receivers.get(to.id)!.fire(sent)
   }
 }
 
@@ -160,3 +170,64 @@
     expect(await network.tasks.get('a')!.resolve('pool', key(1))).toBeUndefined()
   })
 })
+
+describe('SessionAffinityTask, for requests that may go to some regions only', () => {
+  const NORTH = ['north']
+  const createNetwork = (): FakeNetwork => {
+    const network = new FakeNetwork(['a', 'b', 'c'])
+    network.engines.splice(0, 3, ...['n1', 'n2'].map(id => engine(id, 'north')), ...['s1', 's2', 's3'].map(id => engine(id, 'south')))
+    return network
+  }
+  const dataCentreOf = (network: FakeNetwork, hash: number | undefined): string | undefined => network.engines.find(e => e.hash === hash)?.endpoint.dataCentre
+
+  /** Resolves each session at each gateway, without and with the restriction. */
+  const resolveAll = async (network: FakeNetwork, regions: readonly string[]): Promise<Array<[SessionAffinity | undefined, SessionAffinity | undefined]>> => {
+    const all: Array<[SessionAffinity | undefined, SessionAffinity | undefined]> = []
+    for (let session = 1; session <= 12; session++) {
+      for (const task of network.tasks.values()) all.push([await task.resolve('pool', key(session)), await task.resolve('pool', keyWithin(regions, key(session)), regions)])
+    }
+    return all
+  }
+
+  // The owner chose among all engines, as it didn't know of the restriction.
+  it('chooses and copies inside of the regions only, while requests with the same prompt and no restriction use all', async () => {
+    const network = createNetwork()
+    const resolved = await resolveAll(network, NORTH)
+    const [free, restricted] = [resolved.map(r => r[0]!), resolved.map(r => r[1]!)]
+    const used = (affinities: readonly SessionAffinity[], part: 'endpoint' | 'source'): Array<string | undefined> =>
+      [...new Set(affinities.filter(a => a[part] !== 0).map(a => dataCentreOf(network, a[part])))].sort()
+    expect([used(free, 'endpoint'), used(restricted, 'endpoint'), used(restricted, 'source')]).toEqual([['north', 'south'], ['north'], ['north']])
+  })
+
+  it('keeps a restricted session at its engine, whichever gateway it comes to', async () => {
+    const network = createNetwork()
+    const first = new Map<number, number>()
+    const moved = (await resolveAll(network, NORTH)).filter(([, restricted], i) => {
+      const session = Math.floor(i / 3)
+      first.set(session, first.get(session) ?? restricted!.endpoint)
+      return first.get(session) !== restricted!.endpoint
+    })
+    expect(moved).toEqual([])
+  })
+
+  it('does not take the engine that an owner of an earlier version chooses outside of the regions', async () => {
+    const network = createNetwork()
+    network.isEarlier = true
+    const restricted = (await resolveAll(network, NORTH)).map(r => dataCentreOf(network, r[1]!.endpoint))
+    expect(new Set(restricted)).toEqual(new Set(['north']))
+  })
+
+  it('chooses inside of the regions by itself when the owner does not answer', async () => {
+    vi.useFakeTimers()
+    const network = createNetwork()
+    network.cut = true
+    const pending = resolveAll(network, NORTH)
+    await vi.advanceTimersByTimeAsync(5_000)
+    expect(new Set((await pending).map(r => dataCentreOf(network, r[1]!.endpoint)))).toEqual(new Set(['north']))
+  })
+
+  it('finds none where no engine is in the regions', async () => {
+    const network = createNetwork()
+    expect(new Set((await resolveAll(network, ['east'])).map(r => r[1]))).toEqual(new Set([undefined]))
+  })
+})
--- a/src/gateway/SessionAffinityTask.ts
+++ b/src/gateway/SessionAffinityTask.ts
@@ -8,6 +8,7 @@
 import type { HolderDatagram, PeerDatagram } from '../common/generated/PeerDatagram.js'
 import type { Candidates } from '../common/routing/Candidates.js'
 import { HolderDirectory } from '../common/routing/HolderDirectory.js'
+import type { AllowedRegions } from '../common/routing/RegionFilter.js'
 import type { PromptKey } from '../common/routing/PromptPlacement.js'
 import type { IClock } from '../common/Services.js'
 import type { InstanceAddress } from '../common/Types.js'
@@ -26,8 +27,10 @@
   isUsable (endpoint: number): boolean
   /** True when the endpoint with this hash is listed, leaving or not. */
   isListed (endpoint: number): boolean
-  /** Endpoints of a service that accept new requests. */
-  candidates (service: string): Candidates
+  /** True when the endpoint with this hash is listed and in these regions. */
+  isWithin (endpoint: number, regions: AllowedRegions): boolean
+  /** Endpoints of a service that accept new requests, in these regions. */
+  candidates (service: string, scope: { readonly regions: AllowedRegions }): Candidates
 }
 
 export class SessionAffinityTask extends Disposable {
@@ -48,10 +51,13 @@
     this.own(peers.onDatagram(d => this.#receive(d)))
   }
 
-  /** Returns the engine to use for a session of `service`; undefined when there is none. */
-  async resolve (service: string, key: PromptKey): Promise<SessionAffinity | undefined> {
-    const query = { service, ...key, endpoint: this.#lookup(key.session) ?? 0 }
-    const affinity = await this.#askOwners(query) ?? this.#decide(query)
+  /** Returns the engine to use for a session of `service`; undefined when there is none. @param regions regions of the engines that may be used. */
+  async resolve (service: string, key: PromptKey, regions?: AllowedRegions): Promise<SessionAffinity | undefined> {
+    const restriction = regions === undefined ? {} : { regions: [...regions] }
+    const query = { service, ...key, endpoint: this.#lookup(key.session, regions) ?? 0, ...restriction }
+    const answer = await this.#askOwners(query)
+    const isUsable = answer !== undefined && (answer.endpoint === 0 || this.#isAllowed(answer.endpoint, regions))
+    const affinity = isUsable ? answer : this.#decide(query)
     if (affinity.endpoint === 0) return undefined
     this.#directory.record(key, affinity.endpoint, this.#clock.nowMs())
     return affinity
@@ -71,9 +77,18 @@
   }
 
   /** The engine that this gateway remembers for a session, if it is still usable. */
-  #lookup (session: number): number | undefined {
+  #lookup (session: number, regions: AllowedRegions): number | undefined {
     const endpoint = this.#directory.holderOf(session)
-    return endpoint !== undefined && this.#endpoints.isUsable(endpoint) ? endpoint : undefined
+    return endpoint !== undefined && this.#isUsable(endpoint, regions) ? endpoint : undefined
+  }
+
+  #isUsable (endpoint: number, regions: AllowedRegions): boolean {
+    return this.#endpoints.isUsable(endpoint) && this.#isAllowed(endpoint, regions)
+  }
+
+  /** An owner that doesn't know of the restriction, as one of an earlier version, may answer with an engine outside of the regions. */
+  #isAllowed (endpoint: number, regions: AllowedRegions): boolean {
+    return regions === undefined || this.#endpoints.isWithin(endpoint, regions)
   }
 
   /** Decides as the owner. A session that it doesn't know may be known to the other owner, as after a restart of this gateway. */
@@ -93,10 +108,12 @@
   #decide (query: SessionQuery): SessionAffinity {
     const now = this.#clock.nowMs()
     const decidedBy = this.#peers.self.id
-    const suggested = this.#endpoints.isUsable(query.endpoint) ? query.endpoint : undefined
-    const endpoint = this.#lookup(query.session) ?? suggested ?? this.#directory.choose(query, this.#endpoints.candidates(query.service), now)?.hash
+    const { regions } = query
+    const suggested = this.#isUsable(query.endpoint, regions) ? query.endpoint : undefined
+    const choose = (): number | undefined => this.#directory.choose(query, this.#endpoints.candidates(query.service, { regions }), now)?.hash
+    const endpoint = this.#lookup(query.session, regions) ?? suggested ?? choose()
     if (endpoint === undefined) return { endpoint: 0, source: 0, decidedBy }
-    const source = this.#directory.copySource(query, endpoint, e => this.#endpoints.isListed(e), now) ?? 0
+    const source = this.#directory.copySource(query, endpoint, e => this.#endpoints.isListed(e) && this.#isAllowed(e, regions), now) ?? 0
     this.#directory.record(query, endpoint, now)
     return { endpoint, source, decidedBy }
   }
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -59,12 +59,14 @@
 }
 
 function holderRow (kind: number, d: HolderDatagram): Row {
-  return [kind, d.seq, d.id, d.service, d.session, d.template, d.sessionTokens, d.templateTokens, d.endpoint, d.source]
+  const row = [kind, d.seq, d.id, d.service, d.session, d.template, d.sessionTokens, d.templateTokens, d.endpoint, d.source]
+  return d.regions === undefined ? row : [...row, d.regions]
 }
 
 function holderOf (row: Row): HolderDatagram {
-  const [kind, seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source] = row
-  return { kind: KINDS[kind as number], seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source } as HolderDatagram
+  const [kind, seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source, regions] = row
+  const restriction = regions === undefined ? {} : { regions }
+  return { kind: KINDS[kind as number], seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source, ...restriction } as HolderDatagram
 }
 
 function gossipRow (kind: number, d: GossipDatagram): Row {
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -67,6 +67,14 @@
     }), { seed: 2, numRuns: 300 })
   })
 
+  // Earlier versions read the fields by their position and know no regions.
+  it('carries the regions of a restricted session, and nothing more without a restriction', () => {
+    const query = { kind: 'askHolder', seq: 1, id: 'g1', service: 's', session: 2, template: 3, sessionTokens: 4, templateTokens: 5, endpoint: 6, source: 0 } as const
+    const bytes = [query, { ...query, regions: undefined }, { ...query, regions: [] }, { ...query, regions: ['north', 'south'] }].map(d => codec.encode(d as PeerDatagram))
+    expect(bytes.map(b => codec.decode(b)._unsafeUnwrap())).toEqual([query, query, { ...query, regions: [] }, { ...query, regions: ['north', 'south'] }])
+    expect(bytes[0]).toEqual(bytes[1])
+  })
+
   it('rejects signed datagrams that violate the schema', () => {
     const bad = { kind: 'ownPing', seq: -1, id: 'r1', listDigest: 1 } as PeerDatagram
     expect(codec.decode(codec.encode(bad)).isErr()).toBe(true)
