--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -9,6 +9,7 @@
 import { EndpointTable } from '../common/routing/EndpointTable.js'
 import { LimitReports } from '../common/routing/LimitReports.js'
 import { LOAD_REPORT_TTL_MS, LoadReports, MIN_REPORTED_OUTCOMES } from '../common/routing/LoadReports.js'
+import { RegionFilter, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import type { Endpoint, EndpointList, Service, WarmUpLimit } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -26,6 +27,8 @@
   readonly only?: string | undefined
   /** Hash of the request's session, which leaves its engine in an evacuated data centre at a time of its own. */
   readonly session?: number | undefined
+  /** Regions outside of which no endpoint is taken at all. */
+  readonly regions?: AllowedRegions
 }
 
 /** State of an endpoint with its connections. */
@@ -46,16 +49,18 @@
   readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
   readonly #cold: ColdEndpoints
+  readonly #regionFilter: RegionFilter
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
-  /** @param evacuations undefined where data centres are never evacuated. */
-  constructor (clock: IClock, log: Log, evacuations?: EvacuationHolder) {
+  /** @param evacuations undefined where data centres are never evacuated. @param regionOf region of each data centre. */
+  constructor (clock: IClock, log: Log, evacuations?: EvacuationHolder, regionOf: ReadonlyMap<string, string> = new Map()) {
     super()
     this.#clock = clock
     this.#log = log
     this.#evacuations = evacuations
     this.#cold = new ColdEndpoints(log)
+    this.#regionFilter = new RegionFilter(regionOf)
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
@@ -110,6 +115,12 @@
     this.table.recordReadFailure(this.#clock.nowMs() - ageMs)
   }
 
+  /** True when the endpoint with this hash is listed and in these regions. */
+  isWithin (hash: number, regions: AllowedRegions): boolean {
+    const state = this.#byHash.get(hash)
+    return state !== undefined && this.#regionFilter.allows(state.endpoint.dataCentre, regions)
+  }
+
   /**
    * True when the endpoint with this hash is listed and not leaving.
    * @param session hash of a session that it holds: false when that has left the endpoint's evacuated data centre.
@@ -227,19 +238,19 @@
   }
 
   /** Endpoints of a service that accept new requests of this scope. */
-  candidates (service: string, { tried = NONE_TRIED, only, session }: PlacementScope = {}): Candidates {
+  candidates (service: string, { tried = NONE_TRIED, only, session, regions }: PlacementScope = {}): Candidates {
     const now = this.#clock.nowMs()
     const isReachable = (dataCentre: string): boolean => (only === undefined || dataCentre === only) && !this.#reachability.isEjected(dataCentre, now)
-    return new Candidates(this.#group(service), { tried, isReachable, ...this.#openTo(session) }, now)
+    return new Candidates(this.#group(service), { tried, isReachable, ...this.#openTo(session, regions) }, now)
   }
 
-  /** Leaves out evacuated data centres; the condition is absent while there are none. */
-  #openTo (session: number | undefined): Pick<CandidateFilter, 'isAllowed'> {
-    const evacuations = this.#evacuations
-    if (evacuations === undefined || evacuations.isEmpty) return {}
+  /** Leaves out evacuated data centres and those outside of the regions; the condition is absent when neither restricts the request. */
+  #openTo (session: number | undefined, regions?: AllowedRegions): Pick<CandidateFilter, 'isAllowed'> {
+    const evacuations = this.#evacuations?.isEmpty === false ? this.#evacuations : undefined
+    if (evacuations === undefined && regions === undefined) return {}
     const isClosed = (dataCentre: string, isHolder: boolean): boolean =>
-      isHolder && session !== undefined ? evacuations.isClosedTo(dataCentre, session) : evacuations.isClosed(dataCentre)
-    return { isAllowed: (dataCentre, isHolder) => !isClosed(dataCentre, isHolder) }
+      (isHolder && session !== undefined ? evacuations?.isClosedTo(dataCentre, session) : evacuations?.isClosed(dataCentre)) === true
+    return { isAllowed: (dataCentre, isHolder) => this.#regionFilter.allows(dataCentre, regions) && !isClosed(dataCentre, isHolder) }
   }
 
   /** Records the outcome of a request; the endpoint may be ejected, or its data centre marked as unreachable. */
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -2,6 +2,7 @@
 import { placeCall } from '../common/routing/CallPlacement.js'
 import type { Candidates } from '../common/routing/Candidates.js'
 import { placePrompt, promptKey, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { keyWithin, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { EndpointLimiter } from './EndpointLimiter.js'
@@ -28,17 +29,20 @@
   readonly #services: SelectorServices
   readonly #service: string
   readonly #request: RoutedRequest
+  readonly #regions: AllowedRegions
   readonly #tried = new Set<string>()
   #affinity: SessionAffinity | undefined
   #sessionLine: SessionLine | undefined
   readonly #session: number | undefined
   #connectFailures = 0
 
-  constructor (services: SelectorServices, service: string, request: RoutedRequest) {
+  /** @param regions regions whose endpoints may get the request. */
+  constructor (services: SelectorServices, service: string, request: RoutedRequest, regions?: AllowedRegions) {
     this.#services = services
     this.#service = service
     this.#request = request
-    this.#session = request.prompt === undefined ? undefined : promptKey(request.prompt).session
+    this.#regions = regions
+    this.#session = request.prompt === undefined ? undefined : keyWithin(regions, promptKey(request.prompt)).session
   }
 
   /** How the session's engine was found; undefined for requests without a prompt. */
@@ -102,8 +106,9 @@
     if (this.#affinity === undefined) return undefined
     const { endpoint, source } = this.#affinity
     const { pool, clock } = this.#services
-    const engine = pool.getReachable(state.hash === endpoint ? source : endpoint)
-    return engine?.health.isAvailable(clock.nowMs()) === true && pool.isCopySource(engine.hash) ? engine.endpoint : undefined
+    const holder = state.hash === endpoint ? source : endpoint
+    const engine = pool.isWithin(holder, this.#regions) && pool.isCopySource(holder) ? pool.getReachable(holder) : undefined
+    return engine?.health.isAvailable(clock.nowMs()) === true ? engine.endpoint : undefined
   }
 
   async #choose (): Promise<EndpointChoice | undefined> {
@@ -115,10 +120,10 @@
   /** Looks up the session's engine once; further attempts reuse the result. */
   async #chooseEngine (prompt: Prompt): Promise<EndpointChoice | undefined> {
     const { clock, sessionAffinity } = this.#services
-    const key = promptKey(prompt)
+    const key = keyWithin(this.#regions, promptKey(prompt))
     if (this.#affinity === undefined) {
       const startedAt = clock.nowMs()
-      this.#affinity = await sessionAffinity.resolve(this.#service, key)
+      this.#affinity = await sessionAffinity.resolve(this.#service, key, this.#regions)
       this.#sessionLine = { id: key.session, by: this.#affinity?.decidedBy ?? '', ms: Math.round(clock.nowMs() - startedAt) }
     }
     return placePrompt(key.session, this.#affinity?.endpoint, this.#candidates(), clock.nowMs())
@@ -128,6 +133,6 @@
   #candidates (): Candidates {
     const { pool, dataCentre } = this.#services
     const only = this.#connectFailures < FAILURES_BEFORE_NEAR ? undefined : dataCentre
-    return pool.candidates(this.#service, { tried: this.#tried, only, session: this.#session })
+    return pool.candidates(this.#service, { tried: this.#tried, only, session: this.#session, regions: this.#regions })
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -94,10 +94,10 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
-    const { evacuationMs } = settings
+    const { evacuationMs, regions } = settings
     this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
     metrics.evacuations = () => this.#evacuations?.ages ?? []
-    this.#pool = this.own(new EndpointPool(clock, log, this.#evacuations))
+    this.#pool = this.own(new EndpointPool(clock, log, this.#evacuations, regions))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
