Count crashes that take the head of the answer with them

Callers saw: requests with a fatal part were sent on without end when the engine ended as it began to answer, but before the head of its answer had left the process. With engines as child processes that end so, 28 requests reached engines later than 3 s after the fifth crash, 3 are allowed.

Cause: only prompts whose answer had begun were held against the crash; these had none that anyone saw.

Change: a request that the endpoint broke off without an answer counts like one with a young answer. As before, a close counts in full only when the endpoint has ended. The new way in EngineProcess.test.ts failed before (28 > 3) and passes.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -85,9 +85,9 @@
     return this.#answerBeganAt
   }
 
-  /** True when the answer had begun, and its body not gone on for `YOUNG_ANSWER_MS`. */
-  get isYoungAnswer (): boolean {
-    return this.#answerBeganAt !== undefined && !this.#matured
+  /** True unless the body of the answer has gone on for `YOUNG_ANSWER_MS`; an endpoint that ends may take the head of its answer with it. */
+  get isYoung (): boolean {
+    return !this.#matured
   }
 
   /** Log fields of the answer. */
--- a/src/gateway/PromptGuard.ts
+++ b/src/gateway/PromptGuard.ts
@@ -88,7 +88,7 @@
     return partHashes(prompt).some(part => parts.has(part))
   }
 
-  /** Records that an engine closed the connection when its answer to the prompt was young. */
+  /** Records that an engine closed the connection when its answer to the prompt was young, or hadn't begun. */
   recordClose (endpoint: Endpoint, prompt: Prompt, connections?: IEndpointConnections): void {
     this.#watch.recordClose(endpoint, partHashes(prompt), connections)
   }
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -160,7 +160,7 @@
     state.inFlight--
     const now = clock.nowMs()
     this.#currentAttempt = undefined
-    this.#recordPromptOutcome(state, result, attempt.isYoungAnswer)
+    this.#recordPromptOutcome(state, result, attempt.isYoung)
     this.#recordAttempt(choice, result, now - startedAt, attempt.answerLine)
     return result
   }
--- a/src/platform/EngineProcess.test.ts
+++ b/src/platform/EngineProcess.test.ts
@@ -24,6 +24,7 @@
 interface CrashWay extends Pick<SupervisorOptions, 'listener' | 'restartMs'> {
   /** Time from the start of an incarnation until the list names it. */
   readonly listDelayMs: number
+  readonly endsBeforeHead?: boolean | undefined
 }
 
 /** Engines in processes of their own behind several gateways. */
@@ -101,10 +102,10 @@
   }
 
   async #startEngine (id: string): Promise<void> {
-    const { listener, restartMs, listDelayMs } = this.#way
+    const { listener, restartMs, listDelayMs, endsBeforeHead } = this.#way
     const engine: WorkerSupervisor = new WorkerSupervisor(id, {
       script,
-      worker: { fatalPart: FATAL, workMs: 20, eventIntervalMs: 50 },
+      worker: { fatalPart: FATAL, endsBeforeHead, workMs: 20, eventIntervalMs: 50 },
       listener,
       restartMs,
       onFatalRequest: () => this.arrivals.push(performance.now()),
@@ -149,6 +150,7 @@
   it.each([
     ['is back on the same port at once', { listener: 'child', restartMs: 0, listDelayMs: 200 }],
     ['is back at once behind a listener that its parent holds, with a late list', { listener: 'parent', restartMs: 0, listDelayMs: 6_000 }],
+    ['ends before the head of its answer is sent', { listener: 'child', restartMs: 300, listDelayMs: 200, endsBeforeHead: true }],
     ['is back after 1.5 s behind a listener that its parent holds, with a late list', { listener: 'parent', restartMs: 1_500, listDelayMs: 6_000 }]
   ] as const)('is kept from engines when the engine %s', async (_, way) => {
     site = new EngineSite(way)
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -46,6 +46,8 @@
 export interface WorkerOptions {
   /** Id of a prompt part: the worker ends when it begins to answer a request with this part. */
   readonly fatalPart?: string
+  /** True to end before the head of the answer is sent. */
+  readonly endsBeforeHead?: boolean
   /** Called for each request with the fatal part that arrives. */
   readonly onFatalRequest?: () => void
   /** Called when the worker has ended by the fatal part. */
@@ -201,6 +203,10 @@
 
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
+    if (this.#options.endsBeforeHead === true && this.#isFatal(req)) {
+      this.#crash()
+      return
+    }
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     res.flushHeaders()
     if (this.#isFatal(req)) res.write('id: 1\ndata: to', () => this.#crash())
