End the lease of a trial when the trial ends

Cause: the lease on a part ended only with new evidence or after 4 s. A trial that found no engine, was refused by one, was taken back or whose caller left has no evidence.

Change: the instance tells the owner when an attempt that was a trial ended, unless the answer was broken off: then the evidence ends the lease, so that the next trial doesn't overtake it. It is a request for no permits, which instances of the version before take as one for a permit.

--- a/src/common/routing/PartEvidence.test.ts
+++ b/src/common/routing/PartEvidence.test.ts
@@ -11,6 +11,7 @@
 const CONTACT_MS = 3_000 // time that instances have to learn of them
 const MAX_LATER = 3 // fatal requests that may be sent after that
 const MAX_REFUSED = 0.01 // of the sound requests
+const MAX_REFUSED_WAITING = 0.015 // the same, when waiting requests are held against crashes as well
 
 /** Evidence of crashes of engines 1, 2, ... at intervals, each with young answers on these parts. */
 function evidenceOf (crashes: ReadonlyArray<readonly number[]>, intervalMs = APART_MS): PartEvidence {
@@ -166,6 +167,8 @@
 
 interface SimulatedAnswer {
   readonly parts: readonly number[]
+  /** Part that the request has a lease for. */
+  readonly trial: number | undefined
   readonly beginsAt: number
   readonly endsAt: number
 }
@@ -190,8 +193,9 @@
 /**
  * Six engines with sound requests of three templates and many sessions; `fatalPerSec` requests a second share a template and one
  * part that ends an engine 80 ms after the answer began. @param crashEveryMs interval of crashes with another cause.
+ * @param countsWaiting true when requests that wait for their answer are held against a crash as well; the fatal part then ends an engine at once.
  */
-function simulate (seed: number, fatalPerSec: number, crashEveryMs: number): Costs {
+function simulate (seed: number, fatalPerSec: number, crashEveryMs: number, countsWaiting = false): Costs {
   const random = new SeededRandom(seed)
   const evidence = new PartEvidence()
   const leases = new TrialLeases()
@@ -200,27 +204,32 @@
   let incarnations = engines.length
   let lateFrom = Infinity
   const crash = (engine: SimulatedEngine, now: number): void => {
-    const young = engine.answers.filter(a => a.beginsAt <= now && now - a.beginsAt < YOUNG_ANSWER_MS).flatMap(a => a.parts)
+    const young = engine.answers.filter(a => (countsWaiting || a.beginsAt <= now) && now - a.beginsAt < YOUNG_ANSWER_MS).flatMap(a => a.parts)
     evidence.recordCrash([...new Set(young)], engine.incarnation, 0, now)
     young.forEach(part => leases.release(part))
     Object.assign(engine, { incarnation: incarnations++, upAt: now + 3_000, answers: [] })
     cancelBlocked(now)
   }
   const cancelBlocked = (now: number): void => {
-    for (const e of engines) e.answers = e.answers.filter(a => a.beginsAt <= now || !a.parts.some(part => evidence.blockedParts.has(part)))
+    for (const e of engines) {
+      const cancelled = e.answers.filter(a => a.beginsAt > now && a.parts.some(part => evidence.blockedParts.has(part)))
+      for (const { trial } of cancelled) if (trial !== undefined) leases.release(trial)
+      e.answers = e.answers.filter(a => !cancelled.includes(a))
+    }
   }
   const send = (parts: readonly number[], now: number): boolean => {
     const assessment = evidence.assess(parts)
     if (assessment !== undefined && (assessment.nextTrialAt > now || leases.acquire(assessment.part, now) > 0)) return false
     const up = engines.filter(e => e.upAt <= now)
     const engine = up[Math.floor(random.next() * up.length)]
+    if (engine === undefined && assessment !== undefined) leases.release(assessment.part)
     const beginsAt = now + 50 + 200 * random.next()
-    engine?.answers.push({ parts, beginsAt, endsAt: beginsAt + 300 + 3_000 * random.next() })
+    engine?.answers.push({ parts, trial: assessment?.part, beginsAt, endsAt: beginsAt + 300 + 3_000 * random.next() })
     return true
   }
   for (let now = 0; now < 60_000; now += 10) {
     for (const engine of engines) {
-      const isFatal = engine.answers.some(a => a.parts.includes(FATAL) && a.beginsAt + 80 <= now)
+      const isFatal = engine.answers.some(a => a.parts.includes(FATAL) && a.beginsAt + (countsWaiting ? 0 : 80) <= now)
       if (isFatal && ++costs.crashes === MAX_CRASHES) lateFrom = now + CONTACT_MS
       if (isFatal || (crashEveryMs > 0 && now % crashEveryMs === 0 && random.next() < 1 / 6)) crash(engine, now)
       for (const a of engine.answers.filter(a => a.endsAt <= now || now - a.beginsAt >= YOUNG_ANSWER_MS)) evidence.recordSound(a.parts, now)
@@ -244,6 +253,14 @@
     expect(Math.max(...runs.map(r => r.refused / r.sound))).toBeLessThan(MAX_REFUSED)
   })
 
+  // The template that the fatal requests share is held back until an answer on it has gone on for a second: more often when waiting requests count too.
+  it.each([0.5, 1, 5])('does so when the heads of answers are lost in the crashes, at %d fatal requests a second', fatalPerSec => {
+    const runs = Array.from({ length: 30 }, (_, i) => simulate(i + 1, fatalPerSec, 0, true))
+    expect(Math.max(...runs.map(r => r.crashes))).toBeLessThanOrEqual(MAX_CRASHES + MAX_LATER)
+    expect(Math.max(...runs.map(r => r.later))).toBeLessThanOrEqual(MAX_LATER)
+    expect(Math.max(...runs.map(r => r.refused / r.sound))).toBeLessThan(MAX_REFUSED_WAITING)
+  })
+
   it('refuses few sound requests when engines end every two seconds for other reasons', () => {
     const runs = Array.from({ length: 30 }, (_, i) => simulate(i + 1, 0, 2_000))
     expect(Math.max(...runs.map(r => r.refused / r.sound))).toBeLessThan(MAX_REFUSED)
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -97,13 +97,15 @@
     this.#gossip = this.own(new GossipTask(this.#peers, clock, random, log, this.#gossipHost()))
     this.#snapshots = this.own(new SnapshotExchange(this.#snapshotSource(), clock, log))
     const sessionAffinity = this.own(new SessionAffinityTask(this.#peers, clock, this.#pool))
-    this.#promptGuard = this.own(new PromptGuard(this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting))
+    this.#promptGuard = this.own(new PromptGuard(
+      this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting, part => permits.release('part', part)
+    ))
     this.own(this.#pool.table.onChange(({ endpoint, kind }) => { if (kind === 'gone') this.#promptGuard.recordGone(endpoint) }))
     const limiter: EndpointLimiter = new EndpointLimiter(clock, endpoint => permits.take('endpoint', endpoint), () => shareOf(this.#peers.fleet, this.#peers.usable().items.length))
     const permits: PermitTask = this.own(new PermitTask(this.#peers, clock, {
       part: (part, now) => this.#promptGuard.issueTrial(part, now),
       endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now)
-    }))
+    }, { part: part => this.#promptGuard.endLease(part) }))
     const services = {
       clock,
       codec,
--- a/src/gateway/PermitTask.ts
+++ b/src/gateway/PermitTask.ts
@@ -24,17 +24,25 @@
 /** Issues permits, on the owner of a subject. @param key hash of the subject. */
 export type PermitIssuer = (key: number, now: number) => Permit
 
+/** Ends a permit early, on the owner of a subject. @param key hash of the subject. */
+export type PermitReleaser = (key: number) => void
+
 export class PermitTask extends Disposable {
   readonly #peers: IPeerTransport
   readonly #clock: IClock
   readonly #issuers: Readonly<Record<PermitScope, PermitIssuer>>
   readonly #replies: PendingReplies<Permit>
+  readonly #releasers: Readonly<Partial<Record<PermitScope, PermitReleaser>>>
 
-  constructor (peers: IPeerTransport, clock: IClock, issuers: Readonly<Record<PermitScope, PermitIssuer>>) {
+  constructor (
+    peers: IPeerTransport, clock: IClock, issuers: Readonly<Record<PermitScope, PermitIssuer>>,
+    releasers: Readonly<Partial<Record<PermitScope, PermitReleaser>>> = {}
+  ) {
     super()
     this.#peers = peers
     this.#clock = clock
     this.#issuers = issuers
+    this.#releasers = releasers
     this.#replies = this.own(new PendingReplies<Permit>(clock))
     this.own(peers.onDatagram(d => this.#receive(d)))
   }
@@ -50,15 +58,29 @@
     return await this.#replies.query(to.id, OWNER_TIMEOUT_MS, seq => this.#peers.send(to, { kind: 'take', seq, id: self.id, subject, count: 1, waitMs: 0 }))
   }
 
+  /** Tells the subject's owner that a permit is no longer used. */
+  release (scope: PermitScope, key: number): void {
+    const { self } = this.#peers
+    const owner = this.#peers.usable().first(key)
+    const to = owner === undefined ? undefined : this.#peers.address(owner)
+    if (owner === self.id) this.#releasers[scope]?.(key)
+    else if (to !== undefined) this.#peers.send(to, { kind: 'take', seq: 0, id: self.id, subject: `${scope}:${key}`, count: 0, waitMs: 0 })
+  }
+
   #receive (d: PeerDatagram): void {
     if (d.kind === 'grant') this.#replies.onReply(d.id, d.seq, { granted: d.count > 0, waitMs: d.waitMs })
     else if (d.kind === 'take') this.#issue(d)
   }
 
-  #issue ({ id, seq, subject }: AllowanceDatagram): void {
+  /** Answers a request for a permit; one for none ends that of the sender. */
+  #issue ({ id, seq, subject, count }: AllowanceDatagram): void {
     const [scope, key] = subject.split(':')
     const to = this.#peers.address(id)
     if (to === undefined || (scope !== 'part' && scope !== 'endpoint')) return
+    if (count === 0) {
+      this.#releasers[scope]?.(Number(key))
+      return
+    }
     const { granted, waitMs } = this.#issuers[scope](Number(key), this.#clock.nowMs())
     this.#peers.send(to, { kind: 'grant', seq, id: this.#peers.self.id, subject, count: granted ? 1 : 0, waitMs })
   }
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import { SeededRandom } from '../common/SeededRandom.js'
+import type { ProbeResult } from '../router/engines/ConnectProbe.js'
 import { PermitTask } from './PermitTask.js'
 import { PromptGuard } from './PromptGuard.js'
 import { FakePeerNetwork } from './TestUtils.test.js'
@@ -34,8 +35,10 @@
     this.guards.get(id)?.dispose()
     const peers = this.network.join(id)
     const log = pino({ level: 'silent' })
-    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), async e => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused'))
-    const permits = new PermitTask(peers, clock, { part: (part, now) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }) })
+    const probe = async (e: { readonly id: string }): Promise<ProbeResult> => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused')
+    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), probe, part => permits.release('part', part))
+    const issuers = { part: (part: number, now: number) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }) }
+    const permits = new PermitTask(peers, clock, issuers, { part: part => guard.endLease(part) })
     this.guards.set(id, guard)
     guard.start()
     return guard
@@ -83,6 +86,20 @@
     expect([suspects, await fleet.countSenders(FATAL), await fleet.countSenders(prompt('template', 'other'))]).toEqual([1, 0, 1])
   })
 
+  // A trial that reached no engine, or was taken back, kept its lease for 4 s: all prompts with the part were refused meanwhile.
+  it('sends the next suspect prompt once a trial has ended without a broken answer, not before the evidence of a broken one', async () => {
+    await fleet.crashEngines(['e1', 'e2'])
+    const trials = [prompt('template', 'fatal'), prompt('template', 'fatal')]
+    const granted: boolean[] = []
+    for (const [i, wasBrokenOff] of [false, true].entries()) {
+      const [refusal] = await Promise.all([fleet.guard(i).check(trials[i]!, 'r'), vi.advanceTimersByTimeAsync(SPREAD_MS)])
+      granted.push(refusal === undefined)
+      fleet.guard(i).endTrial(trials[i]!, wasBrokenOff)
+      await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    }
+    expect([granted, await fleet.countSenders(FATAL)]).toEqual([[true, true], 0])
+  })
+
   it('sends prompts that share a part with the fatal one once an answer to one of them was whole', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
     fleet.guard(9).recordSound(prompt('template', 'other'))
--- a/src/gateway/PromptGuard.ts
+++ b/src/gateway/PromptGuard.ts
@@ -35,16 +35,23 @@
   readonly #gossip: CrashGossipTask
   readonly #requestTrial: TrialRequest
   readonly #blocked = this.own(new Emitter<ReadonlySet<number>>())
+  readonly #releaseTrial: (part: number) => void
+  /** Suspect or blocked parts for which a prompt is under way as a trial. */
+  readonly #trials = new WeakMap<Prompt, number>()
   #blockedParts: ReadonlySet<number> = new Set()
 
   /** Fires with all blocked parts when one more is blocked. */
   readonly onBlocked = this.#blocked.event
 
-  constructor (peers: IGossipPeers, clock: IClock, random: IRandom, log: Log, requestTrial: TrialRequest, probe: ConnectProbe) {
+  constructor (
+    peers: IGossipPeers, clock: IClock, random: IRandom, log: Log, requestTrial: TrialRequest, probe: ConnectProbe,
+    releaseTrial: (part: number) => void = () => {}
+  ) {
     super()
     this.#clock = clock
     this.#log = log
     this.#requestTrial = requestTrial
+    this.#releaseTrial = releaseTrial
     this.#watch = this.own(new CrashWatch(clock, probe, {
       onCrash: (...crash) => this.#recordCrash(...crash),
       onUnconfirmed: (...close) => this.#recordUnconfirmed(...close)
@@ -70,6 +77,7 @@
     const waitMs = assessment.nextTrialAt - this.#clock.nowMs()
     const permit = waitMs > 0 ? undefined : await this.#requestTrial(assessment.part)
     if (permit?.granted === true) {
+      this.#trials.set(prompt, assessment.part)
       this.#log.info({ step: 'prompts', requestId, ...assessment, nextTrialAt: undefined }, 'prompt sent as a trial')
       return undefined
     }
@@ -83,6 +91,19 @@
     return { granted: waitMs === 0, waitMs }
   }
 
+  /** Ends a trial that took the lease of a part from its owner. */
+  endLease (part: number): void {
+    this.#leases.release(part)
+  }
+
+  /** Records that an attempt with the prompt ended, or that none is made. @param wasBrokenOff true when the evidence of it may still be on its way. */
+  endTrial (prompt: Prompt, wasBrokenOff: boolean): void {
+    const part = this.#trials.get(prompt)
+    if (part === undefined) return
+    this.#trials.delete(prompt)
+    if (!wasBrokenOff) this.#releaseTrial(part)
+  }
+
   /** True when a part of the prompt is among `parts`. */
   hasPartOf (prompt: Prompt, parts: ReadonlySet<number>): boolean {
     return partHashes(prompt).some(part => parts.has(part))
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -95,6 +95,7 @@
     } finally {
       clearTimeout(timer)
       blockedListener.dispose()
+      this.#endTrial(false)
     }
   }
 
@@ -174,10 +175,17 @@
   #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, isYoung: boolean): void {
     const { prompt } = this.#context.request
     if (prompt === undefined) return
+    this.#endTrial(wasClosedEarly(result))
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)) this.#recordSound()
     else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt, state.agent)
   }
 
+  /** Lets another request be the next trial. */
+  #endTrial (wasBrokenOff: boolean): void {
+    const { prompt } = this.#context.request
+    if (prompt !== undefined) this.#services.promptGuard.endTrial(prompt, wasBrokenOff)
+  }
+
   #recordSound (): void {
     const { prompt } = this.#context.request
     if (prompt !== undefined) this.#services.promptGuard.recordSound(prompt)
