Wait longer for the evidence of peers that are slow to answer

Callers saw: a gateway that started while its peers were slow (1 s and more, as on a busy machine) reported ready after 500 ms without their evidence, and sent a blocked part on.

Cause: after 500 ms without an answer a gateway took it that there was nothing to learn.

Change: that holds only without peers. With peers that are listed but silent it waits up to 3 s, by when those out of reach are told from slow ones; in a fleet of few, the answers of all peers that have just started too suffice. A gateway that is cut off from all peers is ready 2.5 s later than before. The new test of PromptGuard fails without the change (ready at 1.5 s, and the part sent).

--- a/src/gateway/CrashGossipTask.ts
+++ b/src/gateway/CrashGossipTask.ts
@@ -17,7 +17,8 @@
 const EXCHANGE_FANOUT = 2
 const ASK_INTERVAL_MS = 100
 const ASK_FANOUT = 4
-const MAX_ASK_MS = 500 // without a peer that has been running for longer, there is nothing to learn
+const MIN_ASK_MS = 500 // without peers there is nothing to learn by then
+const MAX_ASK_MS = 3_000 // peers that haven't answered by then are out of reach; slow ones answer within a second or two
 const INCOMPLETE_ANSWERS = 3 // peers that just started as well and know nothing
 const MAX_CRASHES = 64 // keeps a datagram under 1,200 bytes
 
@@ -48,7 +49,8 @@
 
   /** True once the evidence of the peers was learned, or there is nobody to learn it from. */
   get isComplete (): boolean {
-    return this.#complete || this.#clock.nowMs() - this.#startedAt > MAX_ASK_MS
+    const askedMs = this.#clock.nowMs() - this.#startedAt
+    return this.#complete || askedMs > MAX_ASK_MS || (askedMs > MIN_ASK_MS && this.#peers.contactable().length === 0)
   }
 
   /** Starts to exchange evidence; the peers' socket must be bound. */
@@ -101,7 +103,7 @@
   #recordAnswer ({ id, complete }: CrashDatagram): void {
     if (this.#complete) return
     if (!complete) this.#incompletePeers.add(id)
-    this.#complete = complete || this.#incompletePeers.size >= INCOMPLETE_ANSWERS
+    this.#complete = complete || this.#incompletePeers.size >= Math.min(INCOMPLETE_ANSWERS, this.#peers.contactable().length)
   }
 
   #reports (): PartCrash[] {
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -166,6 +166,31 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // A gateway that started while its peers were slow to answer was ready after 500 ms, and sent the part on.
+  it('waits for peers that are slow to answer, and is ready without them when they stay silent', async () => {
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    fleet.network.loses = () => true
+    const slow = fleet.start('g0')
+    await vi.advanceTimersByTimeAsync(1_500)
+    const early = slow.isReady
+    fleet.network.loses = () => false
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const later = [slow.isReady, await fleet.countSenders(FATAL)]
+    fleet.network.loses = () => true
+    const cutOff = fleet.start('g1')
+    await vi.advanceTimersByTimeAsync(4_000)
+    expect([early, ...later, cutOff.isReady]).toEqual([false, true, 0, true])
+  })
+
+  it('is ready soon when it has no peers, or its only peer has just started as well', async () => {
+    const [alone, pair] = [new GuardedFleet(1), new GuardedFleet(2)]
+    await vi.advanceTimersByTimeAsync(600)
+    const ready = [...alone.guards.values(), ...pair.guards.values()].map(guard => guard.isReady)
+    alone.dispose()
+    pair.dispose()
+    expect(ready).toEqual([true, true, true])
+  })
+
   it('joins the evidence of both sides of a cut when it heals', async () => {
     for (let i = 10; i < GATEWAYS; i++) fleet.network.cutOff.add(`g${i}`)
     await fleet.crashEngines(['e1', 'e2'])
