--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -2,7 +2,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import { SeededRandom } from '../common/SeededRandom.js'
-import { PermitTask } from './PermitTask.js'
+import type { ProbeResult } from '../router/engines/ConnectProbe.js'
+import { PermitTask, type Permit } from './PermitTask.js'
 import { PromptGuard } from './PromptGuard.js'
 import { FakePeerNetwork } from './TestUtils.test.js'
 
@@ -18,6 +19,8 @@
 const FATAL = prompt('template', 'fatal')
 const clock = { nowMs: () => performance.now(), wallMs: () => performance.now() }
 
+const ALWAYS: Permit = { granted: true, waitMs: 0 }
+
 /** Guards of gateways that exchange datagrams in memory. */
 class GuardedFleet {
   readonly network = new FakePeerNetwork()
@@ -34,10 +37,10 @@
     this.guards.get(id)?.dispose()
     const peers = this.network.join(id)
     const log = pino({ level: 'silent' })
-    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), async e => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused'))
-    const permits = new PermitTask(peers, clock, {
-      part: (part, now) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }), cold: () => ({ granted: true, waitMs: 0 })
-    })
+    const probe = async (e: { readonly id: string }): Promise<ProbeResult> => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused')
+    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), probe, part => permits.release('part', part))
+    const issuers = { part: (part: number, now: number) => guard.issueTrial(part, now), endpoint: () => ALWAYS, cold: () => ALWAYS }
+    const permits = new PermitTask(peers, clock, issuers, { part: part => guard.endLease(part) })
     this.guards.set(id, guard)
     guard.start()
     return guard
@@ -85,6 +88,20 @@
     expect([suspects, await fleet.countSenders(FATAL), await fleet.countSenders(prompt('template', 'other'))]).toEqual([1, 0, 1])
   })
 
+  // A trial that reached no engine, or was taken back, kept its lease for 4 s: all prompts with the part were refused meanwhile.
+  it('sends the next suspect prompt once a trial has ended without a broken answer, not before the evidence of a broken one', async () => {
+    await fleet.crashEngines(['e1', 'e2'])
+    const trials = [prompt('template', 'fatal'), prompt('template', 'fatal')]
+    const granted: boolean[] = []
+    for (const [i, wasBrokenOff] of [false, true].entries()) {
+      const [refusal] = await Promise.all([fleet.guard(i).check(trials[i]!, 'r'), vi.advanceTimersByTimeAsync(SPREAD_MS)])
+      granted.push(refusal === undefined)
+      fleet.guard(i).endTrial(trials[i]!, wasBrokenOff)
+      await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    }
+    expect([granted, await fleet.countSenders(FATAL)]).toEqual([[true, true], 0])
+  })
+
   it('sends prompts that share a part with the fatal one once an answer to one of them was whole', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
     fleet.guard(9).recordSound(prompt('template', 'other'))
@@ -151,6 +168,31 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // A gateway that started while its peers were slow to answer was ready after 500 ms, and sent the part on.
+  it('waits for peers that are slow to answer, and is ready without them when they stay silent', async () => {
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    fleet.network.loses = () => true
+    const slow = fleet.start('g0')
+    await vi.advanceTimersByTimeAsync(1_500)
+    const early = slow.isReady
+    fleet.network.loses = () => false
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const later = [slow.isReady, await fleet.countSenders(FATAL)]
+    fleet.network.loses = () => true
+    const cutOff = fleet.start('g1')
+    await vi.advanceTimersByTimeAsync(4_000)
+    expect([early, ...later, cutOff.isReady]).toEqual([false, true, 0, true])
+  })
+
+  it('is ready soon when it has no peers, or its only peer has just started as well', async () => {
+    const [alone, pair] = [new GuardedFleet(1), new GuardedFleet(2)]
+    await vi.advanceTimersByTimeAsync(600)
+    const ready = [...alone.guards.values(), ...pair.guards.values()].map(guard => guard.isReady)
+    alone.dispose()
+    pair.dispose()
+    expect(ready).toEqual([true, true, true])
+  })
+
   it('joins the evidence of both sides of a cut when it heals', async () => {
     for (let i = 10; i < GATEWAYS; i++) fleet.network.cutOff.add(`g${i}`)
     await fleet.crashEngines(['e1', 'e2'])
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -99,6 +99,7 @@
     } finally {
       clearTimeout(timer)
       blockedListener.dispose()
+      this.#endTrial(false)
     }
   }
 
@@ -166,7 +167,7 @@
     state.inFlight--
     const now = clock.nowMs()
     this.#currentAttempt = undefined
-    this.#recordPromptOutcome(state, result, attempt.isYoungAnswer)
+    this.#recordPromptOutcome(state, result, attempt.isYoung)
     this.#recordAttempt(choice, result, now - startedAt, attempt.answerLine)
     return result
   }
@@ -180,10 +181,17 @@
   #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, isYoung: boolean): void {
     const { prompt } = this.#context.request
     if (prompt === undefined) return
+    this.#endTrial(wasClosedEarly(result))
     if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)) this.#recordSound()
     else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt, state.agent)
   }
 
+  /** Lets another request be the next trial. */
+  #endTrial (wasBrokenOff: boolean): void {
+    const { prompt } = this.#context.request
+    if (prompt !== undefined) this.#services.promptGuard.endTrial(prompt, wasBrokenOff)
+  }
+
   #recordSound (): void {
     const { prompt } = this.#context.request
     if (prompt !== undefined) this.#services.promptGuard.recordSound(prompt)
