Show that uncontrolled clients use up descriptors and memory of a gateway

Cause: nothing bounds the connections of callers, nor the requests that are pipelined on one.

The file runs after all others, as it measures a process.

--- a/src/standin/PlatformRecords.ts
+++ b/src/standin/PlatformRecords.ts
@@ -61,6 +61,8 @@
   /** True when the whole fleet starts for the first time. */
   readonly bootstrap: boolean
   readonly bounds: { readonly drainMs: number, readonly graceSec: number, readonly retryRatio: number, readonly retryBurst: number }
+  /** What the process may take; absent for the gateway's defaults. */
+  readonly limits?: { readonly memoryMb: number, readonly maxDescriptors: number }
 }
 
 /** Text of a settings file in the format of the template in deploy/. */
@@ -74,6 +76,7 @@
     bootstrap: spec.bootstrap,
     listen: { frontend: `${spec.address}:${spec.frontPort}`, readiness: `${spec.address}:${spec.readinessPort}` },
     platform: { address: `127.0.0.1:${spec.storePort}` },
-    bounds: { drain_ms: spec.bounds.drainMs, grace_s: spec.bounds.graceSec, retry_budget_ratio: spec.bounds.retryRatio, retry_burst: spec.bounds.retryBurst }
+    bounds: { drain_ms: spec.bounds.drainMs, grace_s: spec.bounds.graceSec, retry_budget_ratio: spec.bounds.retryRatio, retry_burst: spec.bounds.retryBurst },
+    limits: spec.limits === undefined ? undefined : { memory_mb: spec.limits.memoryMb, max_fds: spec.limits.maxDescriptors }
   })
 }
--- a/src/tools/ProcessSet.ts
+++ b/src/tools/ProcessSet.ts
@@ -1,9 +1,10 @@
 /** Node.js processes that a tool started, by name: logs, signals and exit codes. Signals are sent to these processes only. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { closeSync, openSync, readFileSync } from 'node:fs'
+import { closeSync, openSync, readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 
 const CLOCK_TICKS_PER_SEC = 100 // unit of the CPU times in /proc on Linux
+const BYTES_PER_KB = 1_024
 
 /** Child process and its future exit code. */
 interface ManagedProcess {
@@ -67,6 +68,17 @@
     return await (this.#processes.get(name)?.exitCode ?? Promise.resolve(null))
   }
 
+  /** Memory that a process has in use at most since its start, in bytes. */
+  peakMemoryBytes (name: string): number {
+    const status = readFileSync(`/proc/${this.#processes.get(name)!.child.pid}/status`, 'utf8')
+    return Number(/^VmHWM:\s*(\d+) kB$/m.exec(status)?.[1]) * BYTES_PER_KB
+  }
+
+  /** Number of descriptors that a process has open. */
+  openDescriptors (name: string): number {
+    return readdirSync(`/proc/${this.#processes.get(name)!.child.pid}/fd`).length
+  }
+
   /** CPU time of a process since its start, user and system, in seconds. */
   cpuSeconds (name: string): number {
     const stat = readFileSync(`/proc/${this.#processes.get(name)!.child.pid}/stat`, 'utf8')
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,3 +1,10 @@
 import { defineConfig } from 'vitest/config'
 
-export default defineConfig({ test: { include: ['src/**/*.test.ts'], exclude: ['**/TestUtils.test.ts', 'node_modules/**'], testTimeout: 60_000 } })
+const EXCLUDED = ['**/TestUtils.test.ts', 'node_modules/**']
+const APART = ['src/platform/UncontrolledClients.test.ts'] // measures a process that must not compete with other tests, and loads the machine
+
+const project = (name: string, include: string[], exclude: string[], groupOrder: number): object => ({
+  test: { name, include, exclude, testTimeout: 60_000, sequence: { groupOrder } }
+})
+
+export default defineConfig({ test: { projects: [project('all', ['src/**/*.test.ts'], [...EXCLUDED, ...APART], 0), project('apart', APART, EXCLUDED, 1)] } })
