--- a/src/gateway/EndpointAgent.ts
+++ b/src/gateway/EndpointAgent.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { ConnectionEnds, type ConnectionsAt } from '../common/routing/ConnectionEnds.js'
+import { IdleConnections } from './IdleConnections.js'
 
 const IDLE_TIMEOUT_MS = 8_000 // a shorter keep-alive timeout stated by the endpoint takes precedence
 const KEEP_ALIVE_PROBE_MS = 1_000
@@ -18,16 +19,20 @@
   readonly onUnexpectedData: () => void
   /** Records that the endpoint's side closed the connection. */
   readonly onEnd: () => void
+  readonly onClose: () => void
 }
 
 export class EndpointAgent extends Agent {
   readonly #idle = new WeakMap<Duplex, IdleConnection>()
   readonly #openedAt = new WeakMap<Duplex, number>()
   readonly #ends = new ConnectionEnds()
+  readonly #allIdle: IdleConnections
   #reuseDisabledUntil = -Infinity
 
-  constructor () {
+  /** @param allIdle idle connections of this and other agents. */
+  constructor (allIdle = new IdleConnections(Infinity)) {
     super({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_PROBE_MS, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS })
+    this.#allIdle = allIdle
   }
 
   /** Opens a new connection for each request until `until`, as the endpoint sent a response that doesn't belong to its request. */
@@ -68,15 +73,17 @@
     if (performance.now() < this.#reuseDisabledUntil || !super.keepSocketAlive(socket)) return false
     const onUnexpectedData = (): void => { socket.destroy() }
     const onEnd = (): void => this.recordEnd()
-    this.#idle.set(socket, { since: performance.now(), onUnexpectedData, onEnd })
-    socket.on('data', onUnexpectedData)
-    socket.once('end', onEnd).once('error', onEnd)
+    const onClose = (): void => this.#allIdle.remove(socket)
+    this.#idle.set(socket, { since: performance.now(), onUnexpectedData, onEnd, onClose })
+    socket.on('data', onUnexpectedData).once('end', onEnd).once('error', onEnd).once('close', onClose)
+    this.#allIdle.add(socket)
     return true
   }
 
   override reuseSocket (socket: Duplex, req: ClientRequest): void {
     const idle = this.#idle.get(socket)
-    if (idle !== undefined) socket.off('data', idle.onUnexpectedData).off('end', idle.onEnd).off('error', idle.onEnd)
+    if (idle !== undefined) socket.off('data', idle.onUnexpectedData).off('end', idle.onEnd).off('error', idle.onEnd).off('close', idle.onClose)
+    this.#allIdle.remove(socket)
     ;(socket as Socket).setTimeout(0)
     super.reuseSocket(socket, req)
   }
--- a/src/gateway/EndpointPool.test.ts
+++ b/src/gateway/EndpointPool.test.ts
@@ -154,7 +154,7 @@
   function createEvacuated (...dataCentres: readonly string[]): { pool: EndpointPool, clock: FakeClock, evacuations: EvacuationHolder } {
     const [clock, log] = [new FakeClock(), pino({ level: 'silent' })]
     const evacuations = new EvacuationHolder(BOUND_MS, clock, log)
-    const pool = new EndpointPool(clock, log, evacuations)
+    const pool = new EndpointPool(clock, log, { evacuations })
     pool.update({ version: { epoch: 1, revision: 1 }, endpoints: Array.from({ length: 10 }, (_, i) => endpoint(i)) }, 0)
     evacuations.update([], { epoch: 1, revision: 1 }, 0)
     evacuations.update(dataCentres, { epoch: 1, revision: 2 }, 0)
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -16,9 +16,20 @@
 import { ColdEndpoints } from './ColdEndpoints.js'
 import { EndpointAgent } from './EndpointAgent.js'
 import type { EvacuationHolder } from './EvacuationHolder.js'
+import { IdleConnections } from './IdleConnections.js'
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
 
+/** What a pool depends on in a deployment. */
+export interface EndpointPoolOptions {
+  /** Undefined where data centres are never evacuated. */
+  readonly evacuations?: EvacuationHolder | undefined
+  /** Region of each data centre. */
+  readonly regionOf?: ReadonlyMap<string, string> | undefined
+  /** Connections to all endpoints together that are kept for their next request. */
+  readonly maxIdleConnections?: number
+}
+
 /** What narrows the choice among the endpoints of a service for one request. */
 export interface PlacementScope {
   /** Ids of endpoints to which the request was sent before. */
@@ -33,7 +44,12 @@
 
 /** State of an endpoint with its connections. */
 export class PooledEndpoint extends EndpointState {
-  readonly agent = new EndpointAgent()
+  readonly agent: EndpointAgent
+
+  constructor (endpoint: Endpoint, idle: IdleConnections) {
+    super(endpoint)
+    this.agent = new EndpointAgent(idle)
+  }
 }
 
 export class EndpointPool extends Disposable {
@@ -41,6 +57,7 @@
   readonly #clock: IClock
   readonly #log: Log
   readonly #evacuations: EvacuationHolder | undefined
+  readonly #idle: IdleConnections
   /** States of the listed endpoints by id. */
   readonly #states = new Map<string, PooledEndpoint>()
   readonly #byHash = new Map<number, PooledEndpoint>()
@@ -53,9 +70,9 @@
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
-  /** @param evacuations undefined where data centres are never evacuated. @param regionOf region of each data centre. */
-  constructor (clock: IClock, log: Log, evacuations?: EvacuationHolder, regionOf: ReadonlyMap<string, string> = new Map()) {
+  constructor (clock: IClock, log: Log, { evacuations, regionOf = new Map(), maxIdleConnections = Infinity }: EndpointPoolOptions = {}) {
     super()
+    this.#idle = new IdleConnections(maxIdleConnections)
     this.#clock = clock
     this.#log = log
     this.#evacuations = evacuations
@@ -308,7 +325,7 @@
   #getOrCreate (e: Endpoint, isNews = false): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
-      state = new PooledEndpoint(e)
+      state = new PooledEndpoint(e, this.#idle)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
       this.#cold.add(state, isNews, this.#clock.nowMs())
--- a/src/gateway/EndpointSelector.test.ts
+++ b/src/gateway/EndpointSelector.test.ts
@@ -13,7 +13,7 @@
 /** Chooses an engine for a prompt whose session's owner answers with these engines. */
 async function choose (engine: string, source: string, regions?: readonly string[]): Promise<Array<string | undefined>> {
   const clock = new FakeClock()
-  const pool = new EndpointPool(clock, pino({ level: 'silent' }), undefined, new Map([['a', 'north'], ['b', 'south']]))
+  const pool = new EndpointPool(clock, pino({ level: 'silent' }), { regionOf: new Map([['a', 'north'], ['b', 'south']]) })
   pool.update({ version: { epoch: 1, revision: 1 }, endpoints: [endpoint('n1', 'a'), endpoint('n2', 'a'), endpoint('s1', 'b')] }, 0)
   const sessionAffinity = { resolve: async () => ({ endpoint: hashString(engine), source: hashString(source), decidedBy: 'owner' }) }
   const services = { clock, pool, sessionAffinity, limiter: { isLimited: () => false }, metrics: new GatewayMetrics(), dataCentre: 'a' } as unknown as SelectorServices
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,6 +1,8 @@
 /** Composition root of a gateway: builds its tasks, starts them, and drains requests in flight before it stops. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { getHeapStatistics } from 'node:v8'
 import { Disposable } from '../common/Disposable.js'
+import { connectionLimits } from '../common/limits/ConnectionLimits.js'
 import { SharedRetryBudget, type IFleetView, type RetryLimits } from '../common/limits/SharedRetryBudget.js'
 import { hashString } from '../common/Hash.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
@@ -67,6 +69,8 @@
   readonly evacuationMs?: number | undefined
   /** Region of each data centre. */
   readonly regions?: ReadonlyMap<string, string>
+  /** Descriptors that the process may have open. */
+  readonly maxDescriptors: number
 }
 
 export class Gateway extends Disposable {
@@ -94,10 +98,11 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
-    const { evacuationMs, regions } = settings
+    const { evacuationMs, regions: regionOf } = settings
     this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
     metrics.evacuations = () => this.#evacuations?.ages ?? []
-    this.#pool = this.own(new EndpointPool(clock, log, this.#evacuations, regions))
+    const limits = connectionLimits({ ...settings, heapBytes: getHeapStatistics().heap_size_limit })
+    this.#pool = this.own(new EndpointPool(clock, log, { evacuations: this.#evacuations, regionOf, maxIdleConnections: limits.maxIdleEndpointConnections }))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
@@ -136,7 +141,7 @@
       log: new RequestLog(log, clock),
       retryBudget: (service: string) => this.#retryBudget(service)
     }
-    this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION))
+    this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION, limits))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
     if (this.#evacuations !== undefined) this.own(this.#evacuations.onChange(() => this.#gossip.gossipChange()))
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -21,6 +21,10 @@
   readonly retries = new Counter({ name: 'radishloft_retries_total', help: 'Decisions on the retry budget that all gateways share.', labelNames: ['service', 'result'], registers: [this.registry] })
   readonly admissions = new Counter({ name: 'radishloft_admissions_total', help: 'Admissions asked for endpoints with a limit, by result.', labelNames: ['limit', 'result'], registers: [this.registry] })
   readonly placements = new Counter({ name: 'radishloft_placements_total', help: 'Placements by reason.', labelNames: ['reason'], registers: [this.registry] })
+  readonly connectionRefusals = new Counter({
+    name: 'radishloft_connection_refusals_total', help: 'Connections closed and requests refused, by the limit of callers\' connections.', labelNames: ['reason'], registers: [this.registry]
+  })
+
   readonly platformCalls = new Counter({ name: 'radishloft_platform_calls_total', help: 'Calls to the platform by kind and result.', labelNames: ['kind', 'result'], registers: [this.registry] })
   readonly controlBytes = new Counter({
     name: 'radishloft_control_bytes_total', help: 'Bytes between instances that carry no request.', labelNames: ['direction', 'kind'], registers: [this.registry]
--- a/src/platform/Platform.test.ts
+++ b/src/platform/Platform.test.ts
@@ -291,6 +291,7 @@
           "evacuationMs": undefined,
           "graceMs": 9000,
           "id": "edge-1",
+          "maxDescriptors": 4096,
           "memoryBytes": 268435456,
           "metrics": {
             "address": "10.1.0.40",
