--- a/src/platform/Evacuation.test.ts
+++ b/src/platform/Evacuation.test.ts
@@ -2,7 +2,8 @@
  * End-to-end tests on loopback of the evacuation of a data centre: gateways of three data centres send calls, streams and requests of
  * sessions to workers there. What counts is when requests arrive at the workers; the only time that is checked is the bound.
  */
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { EndpointPool } from '../gateway/EndpointPool.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
@@ -191,6 +192,18 @@
   }, TEST_TIMEOUT_MS)
 })
 
+// An evacuation that a gateway heard of while it connected to an endpoint there came too late for that request, even for one that may run once only.
+it('a request whose endpoint was evacuated while it connected is sent to another, without an outcome for the first', async () => {
+  await startAll([storePort])
+  const isOpen = vi.spyOn(EndpointPool.prototype, 'isOpen').mockReturnValueOnce(false)
+  const { status } = await call(gateways[0]!.port, '/write/1')
+  isOpen.mockRestore()
+  const attempts = logLines.find(l => l.step === 'request')!.attempts as ReadonlyArray<Readonly<Record<string, unknown>>>
+  const arrived = DATA_CENTRES.reduce((sum, dataCentre) => sum + arrivals(dataCentre, 0), 0)
+  expect([status, arrived, attempts.map(a => [a.result, a.detail, a.retry]), attempts[0]!.endpoint === attempts[1]!.endpoint])
+    .toEqual([200, 1, [['not-run', 'withdrawn before it was written', undefined], ['answered', undefined, undefined]], false])
+}, TEST_TIMEOUT_MS)
+
 describe('an evacuation, when parts fail', () => {
   // A gateway that starts knew no evacuation, and sent its first requests to the evacuated data centre.
   it('is known to a gateway that starts, also while the store can\'t be read', async () => {
