Test an evacuation that no watching gateway can read

The watching gateways are cut off from the store and gossip goes on; the others hear of it by their own reads within the bound.

--- a/src/platform/Evacuation.test.ts
+++ b/src/platform/Evacuation.test.ts
@@ -2,6 +2,7 @@
  * End-to-end tests on loopback of the evacuation of a data centre: gateways of three data centres send calls, streams and requests of
  * sessions to workers there. What counts is when requests arrive at the workers; the only time that is checked is the bound.
  */
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { EndpointPool } from '../gateway/EndpointPool.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
@@ -48,6 +49,35 @@
   return await other.listen()
 }
 
+/** A gateway's way to the store, which can be cut. */
+interface StoreLink {
+  readonly port: number
+  readonly cut: () => void
+}
+
+async function storeLink (): Promise<StoreLink> {
+  const sockets = new Set<Socket>()
+  let isCut = false
+  const server = createServer(near => {
+    const far = connect(storePort, '127.0.0.1')
+    for (const [socket, other] of [[near, far], [far, near]] as const) {
+      sockets.add(socket)
+      socket.on('error', () => {}).on('close', () => { other.destroy() }).pipe(other)
+    }
+    if (isCut) near.destroy()
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const cut = (): void => {
+    isCut = true
+    sockets.forEach(socket => socket.destroy())
+  }
+  stops.push(() => {
+    server.close()
+    cut()
+  })
+  return { port: (server.address() as AddressInfo).port, cut }
+}
+
 /** Requests that are sent to gateways at an interval, in turn a call, one that may run once only, and a stream of a session. */
 class Load {
   readonly answers: CallResult[] = []
@@ -234,6 +264,24 @@
     expect([statuses, arrivals('b', closedAt)]).toEqual([[200], 0])
   }, TEST_TIMEOUT_MS)
 
+  // The gateways that watch for all others couldn't read the store, but passed on the others' confirmations, so that none read of the evacuation.
+  it('is heard of when every gateway that watches is cut off from the store', async () => {
+    const links: StoreLink[] = []
+    for (const [i, dataCentre] of (['a', 'a', 'b', 'b'] as const).entries()) {
+      links.push(await storeLink())
+      gateways.push(await start(i + 1, dataCentre, links[i]!.port))
+    }
+    await waitUntil(() => gateways.every(g => g.gateway.ready) && gateways.filter(g => g.gateway.isConfigReader).length === 2)
+    await sleep(500)
+    const load = new Load(gateways)
+    for (const [i, { gateway }] of gateways.entries()) if (gateway.isConfigReader) links[i]!.cut()
+    await sleep(100)
+    const closedAt = evacuate('b')
+    await sleep(BOUND_MS + OBSERVED_MS)
+    const statuses = await load.stop()
+    expect([statuses, arrivals('b', closedAt), countLogged('started', 'b')]).toEqual([[200], 0, 4])
+  }, TEST_TIMEOUT_MS)
+
   // A store that was away ended evacuations, or kept one whose key was deleted meanwhile.
   it('holds while the store is away, and ends when the store is back without its key', async () => {
     await startAll()
