Look at no endpoint's data centre once evacuations have ended

What a set remembers of ended evacuations, so that peers don't begin them again, kept it from being empty: each choice looked up the data centre of each endpoint from then on.

--- a/src/common/routing/EvacuationSet.test.ts
+++ b/src/common/routing/EvacuationSet.test.ts
@@ -174,4 +174,16 @@
     const set = createSet(['a', 'b', 'c'])
     expect(closed(set, NOW + 3_600_000)).toEqual(['a', 'b', 'c'])
   })
+
+  // After the first evacuation had ended, every request looked up the data centre of each endpoint for as long as the process ran.
+  it('is empty while nothing is in force, and only then', () => {
+    const set = new EvacuationSet(BOUND_MS)
+    const empty = [set.isEmpty(NOW)]
+    for (const [i, names] of [[], ['a'], [], ['a']].entries()) {
+      set.update(names, at(10 + i), 0, NOW)
+      empty.push(set.isEmpty(NOW))
+    }
+    set.update([], at(5, 2), 0, NOW)
+    expect([empty, set.isEmpty(NOW + GRACE_MS - 1), set.isEmpty(NOW + GRACE_MS)]).toEqual([[false, true, false, true, false], false, true])
+  })
 })
--- a/src/common/routing/EvacuationSet.ts
+++ b/src/common/routing/EvacuationSet.ts
@@ -56,6 +56,8 @@
   #listed: Listed = new Map()
   /** Evacuations that were in force before the epoch of the version, and are missing in it. */
   #retained = new Map<string, RetainedEvacuation>()
+  /** When the last of these ends. */
+  #retainedUntil = -Infinity
   /** Evacuations in force at the last update, to tell what has changed. */
   #reported = new Map<string, Evacuation>()
   /** When the set was last known to be that of the store. */
@@ -72,8 +74,8 @@
   }
 
   /** True when nothing is evacuated, so that no data centre needs to be looked at. */
-  get isEmpty (): boolean {
-    return this.#isKnown && this.#listed.size === 0 && this.#retained.size === 0
+  isEmpty (now: number): boolean {
+    return this.#isKnown && this.#listed.size === 0 && now >= this.#retainedUntil
   }
 
   /** Version at which the store held the set. */
@@ -166,6 +168,7 @@
   #retain (now: number): void {
     const before = this.#inForce(now)
     this.#retained = new Map([...before].map(([name, evacuation]) => [name, { evacuation, until: now + RECOVERY_GRACE_MS }]))
+    this.#retainedUntil = now + RECOVERY_GRACE_MS
   }
 
   /** A peer with an earlier set may have heard of an evacuation before this instance, unless that was another one of the same data centre. */
@@ -184,6 +187,7 @@
       if (d.leftMs === undefined || this.#listed.has(d.name) || this.#retained.has(d.name)) continue
       const until = now + Math.min(RECOVERY_GRACE_MS, d.leftMs)
       this.#retained.set(d.name, { evacuation: toEvacuation(d, this.#version, now), until })
+      this.#retainedUntil = Math.max(this.#retainedUntil, until)
     }
   }
 
--- a/src/gateway/EvacuationHolder.ts
+++ b/src/gateway/EvacuationHolder.ts
@@ -30,7 +30,7 @@
 
   /** True when nothing is evacuated. */
   get isEmpty (): boolean {
-    return this.#set.isEmpty
+    return this.#set.isEmpty(this.#clock.nowMs())
   }
 
   /** The evacuations in force. */
