--- a/src/platform/Evacuation.test.ts
+++ b/src/platform/Evacuation.test.ts
@@ -2,7 +2,9 @@
  * End-to-end tests on loopback of the evacuation of a data centre: gateways of three data centres send calls, streams and requests of
  * sessions to workers there. What counts is when requests arrive at the workers; the only time that is checked is the bound.
  */
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { EndpointPool } from '../gateway/EndpointPool.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort } from '../tools/FreePort.js'
@@ -47,6 +49,35 @@
   return await other.listen()
 }
 
+/** A gateway's way to the store, which can be cut. */
+interface StoreLink {
+  readonly port: number
+  readonly cut: () => void
+}
+
+async function storeLink (): Promise<StoreLink> {
+  const sockets = new Set<Socket>()
+  let isCut = false
+  const server = createServer(near => {
+    const far = connect(storePort, '127.0.0.1')
+    for (const [socket, other] of [[near, far], [far, near]] as const) {
+      sockets.add(socket)
+      socket.on('error', () => {}).on('close', () => { other.destroy() }).pipe(other)
+    }
+    if (isCut) near.destroy()
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const cut = (): void => {
+    isCut = true
+    sockets.forEach(socket => socket.destroy())
+  }
+  stops.push(() => {
+    server.close()
+    cut()
+  })
+  return { port: (server.address() as AddressInfo).port, cut }
+}
+
 /** Requests that are sent to gateways at an interval, in turn a call, one that may run once only, and a stream of a session. */
 class Load {
   readonly answers: CallResult[] = []
@@ -191,6 +222,18 @@
   }, TEST_TIMEOUT_MS)
 })
 
+// An evacuation that a gateway heard of while it connected to an endpoint there came too late for that request, even for one that may run once only.
+it('a request whose endpoint was evacuated while it connected is sent to another, without an outcome for the first', async () => {
+  await startAll([storePort])
+  const isOpen = vi.spyOn(EndpointPool.prototype, 'isOpen').mockReturnValueOnce(false)
+  const { status } = await call(gateways[0]!.port, '/write/1')
+  isOpen.mockRestore()
+  const attempts = logLines.find(l => l.step === 'request')!.attempts as ReadonlyArray<Readonly<Record<string, unknown>>>
+  const arrived = DATA_CENTRES.reduce((sum, dataCentre) => sum + arrivals(dataCentre, 0), 0)
+  expect([status, arrived, attempts.map(a => [a.result, a.detail, a.retry]), attempts[0]!.endpoint === attempts[1]!.endpoint])
+    .toEqual([200, 1, [['not-run', 'withdrawn before it was written', undefined], ['answered', undefined, undefined]], false])
+}, TEST_TIMEOUT_MS)
+
 describe('an evacuation, when parts fail', () => {
   // A gateway that starts knew no evacuation, and sent its first requests to the evacuated data centre.
   it('is known to a gateway that starts, also while the store can\'t be read', async () => {
@@ -221,6 +264,24 @@
     expect([statuses, arrivals('b', closedAt)]).toEqual([[200], 0])
   }, TEST_TIMEOUT_MS)
 
+  // The gateways that watch for all others couldn't read the store, but passed on the others' confirmations, so that none read of the evacuation.
+  it('is heard of when every gateway that watches is cut off from the store', async () => {
+    const links: StoreLink[] = []
+    for (const [i, dataCentre] of (['a', 'a', 'b', 'b'] as const).entries()) {
+      links.push(await storeLink())
+      gateways.push(await start(i + 1, dataCentre, links[i]!.port))
+    }
+    await waitUntil(() => gateways.every(g => g.gateway.ready) && gateways.filter(g => g.gateway.isConfigReader).length === 2)
+    await sleep(500)
+    const load = new Load(gateways)
+    for (const [i, { gateway }] of gateways.entries()) if (gateway.isConfigReader) links[i]!.cut()
+    await sleep(100)
+    const closedAt = evacuate('b')
+    await sleep(BOUND_MS + OBSERVED_MS)
+    const statuses = await load.stop()
+    expect([statuses, arrivals('b', closedAt), countLogged('started', 'b')]).toEqual([[200], 0, 4])
+  }, TEST_TIMEOUT_MS)
+
   // A store that was away ended evacuations, or kept one whose key was deleted meanwhile.
   it('holds while the store is away, and ends when the store is back without its key', async () => {
     await startAll()
