Let unused connections to endpoints give way to callers

Cause: a fixed eighth of the sockets was kept for unused connections to endpoints. With 160 MB and 2,069 descriptors, 900 ordinary clients that send three requests each at once had 113 requests refused and 229 connections closed, though everything would have fitted.

--- a/src/common/limits/ConnectionLimits.ts
+++ b/src/common/limits/ConnectionLimits.ts
@@ -37,7 +37,7 @@
   readonly maxConnections: number
   /** Forwarded requests that find room, however many connections of callers have requests in work. */
   readonly guaranteedForwards: number
-  /** Unused connections to endpoints that are kept for their next request. */
+  /** Unused connections to endpoints that are kept for their next request, where the other two leave room for them. */
   readonly maxIdleEndpointConnections: number
   /** Heads of requests of which only a part has come. */
   readonly maxPartialHeads: number
@@ -56,7 +56,7 @@
   const allSockets = maxDescriptors - RESERVED_DESCRIPTORS
   const controlSockets = Math.min(MAX_CONTROL_SOCKETS, allSockets * CONTROL_FRACTION)
   const maxIdleEndpointConnections = atLeastOne(allSockets * IDLE_ENDPOINT_FRACTION)
-  const maxSockets = atLeastOne(allSockets - controlSockets - maxIdleEndpointConnections)
+  const maxSockets = atLeastOne(allSockets - controlSockets)
   const maxConnections = atLeastOne(Math.min(
     maxSockets * CALLER_FRACTION,
     memoryBytes * CONNECTION_MEMORY_FRACTION / CONNECTION_BYTES,
--- a/src/common/limits/ConnectionTable.ts
+++ b/src/common/limits/ConnectionTable.ts
@@ -77,6 +77,11 @@
     return this.#entries.size
   }
 
+  /** Number of sockets that neither callers' connections nor forwarded requests use. */
+  get freeSockets (): number {
+    return Math.max(0, this.#limits.maxSockets - this.size - this.#forwards)
+  }
+
   /** Bytes of responses that wait to be read. */
   get unreadBytes (): number {
     return this.#unreadBytes
--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -63,7 +63,9 @@
     this.#bodyBudget = new ByteBudget(maxBodyBytes)
     this.#responseBudget = new ByteBudget(limits.maxBufferedBytes)
     this.#services = services
-    this.#connections = new CallerConnections(services.systemLog, limits, reason => services.metrics.connectionRefusals.inc({ reason }))
+    this.#connections = new CallerConnections(
+      services.systemLog, limits, reason => services.metrics.connectionRefusals.inc({ reason }), free => services.pool.idle.setRoom(free)
+    )
     this.#server = createServer({
       maxHeaderSize: MAX_PARSER_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_MS, requestTimeout: 0, requireHostHeader: false
     })
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -31,7 +31,8 @@
   readonly table = new EndpointTable()
   readonly #clock: IClock
   readonly #log: Log
-  readonly #idle: IdleConnections
+  /** Unused connections to all endpoints. */
+  readonly idle: IdleConnections
   /** States of the listed endpoints by id. */
   readonly #states = new Map<string, PooledEndpoint>()
   readonly #byHash = new Map<number, PooledEndpoint>()
@@ -45,7 +46,7 @@
   /** @param maxIdleConnections connections to all endpoints together that are kept for their next request. */
   constructor (clock: IClock, log: Log, maxIdleConnections = Infinity) {
     super()
-    this.#idle = new IdleConnections(maxIdleConnections)
+    this.idle = new IdleConnections(maxIdleConnections)
     this.#clock = clock
     this.#log = log
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
@@ -241,7 +242,7 @@
   #getOrCreate (e: Endpoint): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
-      state = new PooledEndpoint(e, this.#idle)
+      state = new PooledEndpoint(e, this.idle)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
     }
--- a/src/gateway/IdleConnections.test.ts
+++ b/src/gateway/IdleConnections.test.ts
@@ -12,4 +12,13 @@
     for (const connection of [c, d]) idle.add(connection)
     expect([[a, b, c, d].map(connection => connection.destroyed), idle.size]).toEqual([[false, true, false, false], 2])
   })
+
+  // They took the place of callers' connections and of requests that were forwarded.
+  it('closes connections when others need their room', () => {
+    const idle = new IdleConnections(3)
+    const connections = [new PassThrough(), new PassThrough(), new PassThrough()]
+    connections.forEach(connection => idle.add(connection))
+    idle.setRoom(1)
+    expect([connections.map(connection => connection.destroyed), idle.size]).toEqual([[true, true, false], 1])
+  })
 })
--- a/src/gateway/IdleConnections.ts
+++ b/src/gateway/IdleConnections.ts
@@ -6,6 +6,7 @@
 
 export class IdleConnections {
   readonly #max: number
+  #room = Infinity
   /** In the order in which they became idle. */
   readonly #connections = new Set<Duplex>()
 
@@ -17,17 +18,29 @@
     return this.#connections.size
   }
 
+  /** Sets for how many connections others leave room; those beyond are closed. */
+  setRoom (room: number): void {
+    this.#room = room
+    this.#trim()
+  }
+
   /** Adds a connection that has become idle. */
   add (connection: Duplex): void {
     this.#connections.add(connection)
-    if (this.#connections.size <= this.#max) return
-    const [longestIdle] = this.#connections
-    this.remove(longestIdle!)
-    longestIdle!.destroy()
+    this.#trim()
   }
 
   /** Removes a connection that was closed or is used again. */
   remove (connection: Duplex): void {
     this.#connections.delete(connection)
   }
+
+  #trim (): void {
+    const max = Math.min(this.#max, this.#room)
+    for (const longestIdle of this.#connections) {
+      if (this.#connections.size <= max) return
+      this.#connections.delete(longestIdle)
+      longestIdle.destroy()
+    }
+  }
 }
--- a/src/router/callers/CallerConnections.ts
+++ b/src/router/callers/CallerConnections.ts
@@ -34,6 +34,9 @@
 /** Serves a request. @param waitedMs time that it waited for the responses to those before it on its connection. */
 export type RequestListener = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void
 
+/** Told how many sockets callers' connections and forwarded requests leave, whenever they take some or give some back. */
+export type FreeSocketsListener = (free: number) => void
+
 /** Counts what was refused, by the limit that was reached. */
 export type RefusalCounter = (refusal: ConnectionRefusal) => void
 
@@ -41,13 +44,15 @@
   readonly #log: ConnectionLog
   readonly #table: ConnectionTable<Socket>
   readonly #countRefusal: RefusalCounter
+  readonly #onFreeSockets: FreeSocketsListener
   readonly #connections = new WeakMap<Duplex, Connection>()
   readonly #open = new Set<Socket>()
   /** Connections on which responses were written whose unread bytes haven't been looked at since. */
   readonly #written = new Set<Socket>()
   #accepted = 0
 
-  constructor (log: Log, limits: ConnectionLimits, countRefusal: RefusalCounter) {
+  constructor (log: Log, limits: ConnectionLimits, countRefusal: RefusalCounter, onFreeSockets: FreeSocketsListener = () => {}) {
+    this.#onFreeSockets = onFreeSockets
     this.#log = new ConnectionLog(log, performance.now())
     this.#table = new ConnectionTable(limits, { bytesRead: socket => socket.bytesRead, isReading: socket => this.#isReading(socket) })
     this.#countRefusal = countRefusal
@@ -95,11 +100,17 @@
   beginForward (): (() => void) | undefined {
     const { granted, evicted } = this.#table.beginForward(performance.now())
     this.#evict(evicted)
-    if (granted) return () => this.#table.endForward()
+    this.#onFreeSockets(this.#table.freeSockets)
+    if (granted) return () => this.#endForward()
     this.#countRefusal('forwards')
     return undefined
   }
 
+  #endForward (): void {
+    this.#table.endForward()
+    this.#onFreeSockets(this.#table.freeSockets)
+  }
+
   /** Ends connections that have been used and wait for their next request. */
   closeIdle (): void {
     for (const socket of this.#open) {
@@ -123,6 +134,7 @@
       endAndLinger(socket)
     }
     this.#evict(this.#table.add(socket, performance.now()))
+    this.#onFreeSockets(this.#table.freeSockets)
   }
 
   /** Serves a request whose head was read once those before it are answered, unless its connection ends or holds too many. */
