--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -57,7 +57,8 @@
   readonly #clock: IClock
   readonly #log: Log
   readonly #evacuations: EvacuationHolder | undefined
-  readonly #idle: IdleConnections
+  /** Unused connections to all endpoints. */
+  readonly idle: IdleConnections
   /** States of the listed endpoints by id. */
   readonly #states = new Map<string, PooledEndpoint>()
   readonly #byHash = new Map<number, PooledEndpoint>()
@@ -72,7 +73,7 @@
 
   constructor (clock: IClock, log: Log, { evacuations, regionOf = new Map(), maxIdleConnections = Infinity }: EndpointPoolOptions = {}) {
     super()
-    this.#idle = new IdleConnections(maxIdleConnections)
+    this.idle = new IdleConnections(maxIdleConnections)
     this.#clock = clock
     this.#log = log
     this.#evacuations = evacuations
@@ -325,7 +326,7 @@
   #getOrCreate (e: Endpoint, isNews = false): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
-      state = new PooledEndpoint(e, this.#idle)
+      state = new PooledEndpoint(e, this.idle)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
       this.#cold.add(state, isNews, this.#clock.nowMs())
