Place short new sessions and known templates at cold engines

Cause: the few requests that a cold engine takes were chosen regardless of how long it reads them.

Change: the owner that places a new session adds the time in which a cold engine reads the part of the prompt that it lacks. Warm engines are compared as before. The test fails without the change.

--- a/src/common/routing/HolderDirectory.ts
+++ b/src/common/routing/HolderDirectory.ts
@@ -65,9 +65,9 @@
     if (firstRanked === undefined) return undefined
     const meanLoad = candidates.meanLoad()
     let best = firstRanked
-    let least = this.#delayMs(firstRanked, meanLoad, now) - FIRST_RANKED_PREFERENCE_MS
+    let least = this.#delayMs(firstRanked, key, meanLoad, now) - FIRST_RANKED_PREFERENCE_MS
     for (const e of others) {
-      const delay = this.#delayMs(e, meanLoad, now)
+      const delay = this.#delayMs(e, key, meanLoad, now)
       if (delay >= least) continue
       least = delay
       best = e
@@ -77,10 +77,17 @@
   }
 
   /** Expected delay of a session's first token at an engine, in ms. */
-  #delayMs (c: EndpointState, meanLoad: number, now: number): number {
+  #delayMs (c: EndpointState, key: PromptKey, meanLoad: number, now: number): number {
     const excessMs = Math.max(0, c.load(now) - meanLoad) * EXCESS_REQUEST_MS
     const limitMs = 1_000 / (c.limitPerSec(now) ?? Infinity)
-    return this.#backlog.remainingMs(c.hash, now) + excessMs + limitMs + c.health.failureRate(now) * FAILURE_PENALTY_MS
+    return this.#backlog.remainingMs(c.hash, now) + excessMs + limitMs + this.#coldMs(c, key, now) + c.health.failureRate(now) * FAILURE_PENALTY_MS
+  }
+
+  /** Time that a cold engine takes to read what it hasn't cached: its few requests go to short prompts and templates that it has. */
+  #coldMs (c: EndpointState, key: PromptKey, now: number): number {
+    if (!c.warmUp.isCold(now)) return 0
+    const templateTokens = this.#holdsTemplate(key.template, c.hash, now) ? 0 : key.templateTokens
+    return (key.sessionTokens + templateTokens) / PREFILL_TOKENS_PER_MS
   }
 
   #holdsTemplate (template: number, endpoint: number, now: number): boolean {
--- a/src/common/routing/Routing.test.ts
+++ b/src/common/routing/Routing.test.ts
@@ -172,6 +172,21 @@
     expect(sources).toEqual([undefined, 1, 1, undefined])
   })
 
+  // The few requests that a cold engine takes were spent on prompts that take it longest.
+  it('places short new sessions, and those whose template it has, at a cold engine, long ones elsewhere', () => {
+    const states = engines(3)
+    const sized = promptKey(prompt('s'))
+    const key = (templateTokens: number, sessionTokens: number): typeof sized => ({ ...sized, templateTokens, sessionTokens })
+    const directory = new HolderDirectory()
+    const home = directory.choose(key(0, 0), among(states, 0), 0)!
+    home.warmUp.limit = { durationMs: 3_000, requestsPerSec: 12 }
+    home.warmUp.recordEntry(3_000, 0, 0)
+    const isHome = (d: HolderDirectory, k: typeof sized, now: number): boolean => d.choose(k, among(states, now), now) === home
+    const cold = [key(500, 500), key(500, 8_000), key(8_000, 500)].map(k => isHome(new HolderDirectory(), k, 1))
+    directory.record({ ...key(8_000, 500), session: 9 }, home.hash, 1)
+    expect([cold, isHome(directory, key(8_000, 500), 1), isHome(new HolderDirectory(), key(500, 8_000), 3_000)]).toEqual([[true, false, false], true, true])
+  })
+
   it('avoids engines that are busy or ejected', () => {
     const states = engines(3)
     const key = promptKey(prompt('s'))
