--- a/src/common/routing/Candidates.ts
+++ b/src/common/routing/Candidates.ts
@@ -65,11 +65,6 @@
     return waits.length === 0 ? undefined : Math.min(...waits)
   }
 
-  /** True when some endpoints may not get the request, as their data centres aren't allowed. */
-  get isRestricted (): boolean {
-    return this.#group.members.some(e => !this.#isAllowed(e.endpoint.dataCentre, false))
-  }
-
   #isAvailable (state: EndpointState, isHolder = false): boolean {
     return this.#isEligible(state, isHolder) && this.#takesRequests(state) && this.#isReachable(state)
   }
--- a/src/common/routing/EndpointTable.ts
+++ b/src/common/routing/EndpointTable.ts
@@ -82,6 +82,11 @@
     return this.#byService.get(service) ?? []
   }
 
+  /** True when this incarnation of an endpoint left the list a short while ago. */
+  hasLeft (e: Endpoint, now: number): boolean {
+    return this.#departed.has(e, now)
+  }
+
   get (id: string): Endpoint | undefined {
     return this.#endpoints.get(id)
   }
--- a/src/gateway/ColdEndpoints.test.ts
+++ b/src/gateway/ColdEndpoints.test.ts
@@ -72,6 +72,30 @@
     expect([atOnce, then, limits('a', 'b', 'c', 'd')]).toEqual([[undefined, 12, 12, 12], [undefined, undefined, 12, 12], [undefined, undefined, undefined, undefined]])
   })
 
+  // A data centre whose entries had lapsed came back as if all its endpoints had just started, and got a few requests a second for seconds.
+  it('doesn\'t take an incarnation that was missing for a while as just started, unless its remaining time is unknown', () => {
+    pool.updateServices(SERVICES)
+    update([endpoint('a'), endpoint('b', 'unstated'), endpoint('c')])
+    clock.advance(5_000)
+    update([])
+    clock.advance(1_000)
+    update([endpoint('a'), endpoint('b', 'unstated'), endpoint('c', 0, { startedAtMs: 2 })])
+    expect(limits('a', 'b', 'c')).toEqual([undefined, 12, 12])
+  })
+
+  // An endpoint stayed closed for up to 10 s after its limit had ended, when the owner's refusal came after that.
+  it('admits a request whose limit ended while its admission was asked for', async () => {
+    update([endpoint('a')])
+    const state = stateOf('a')
+    state.recordLimit(2, clock.nowMs())
+    const limiter = new EndpointLimiter(clock, async () => {
+      clock.advance(1)
+      state.recordLimit(undefined, clock.nowMs())
+      return await Promise.resolve({ granted: false, waitMs: 5_000 })
+    }, () => ({ gateways: 1, reachable: 1 }), 1)
+    expect([await limiter.admit(state), state.isDeferred(clock.nowMs())]).toEqual([true, false])
+  })
+
   // Peers tell that the list is the same; the remaining times in it may have grown.
   it('takes an endpoint as cold while peers confirm a list that has it as cold', () => {
     pool.updateServices(SERVICES)
--- a/src/gateway/ColdEndpoints.ts
+++ b/src/gateway/ColdEndpoints.ts
@@ -32,10 +32,10 @@
     }
   }
 
-  /** Adds a new endpoint. @param isNews true when it joined after the first list: it has just started. */
-  add (state: EndpointState, isNews: boolean, now: number): void {
+  /** Adds a new endpoint. @param hasStarted true when it joined after the first list: it has just started. */
+  add (state: EndpointState, hasStarted: boolean, now: number): void {
     state.warmUp.limit = this.#limits.get(state.endpoint.service)
-    if (isNews) state.warmUp.recordJoin(now)
+    if (hasStarted) state.warmUp.recordJoin(now)
   }
 
   /** Applies a list that was read at `listedAt`. */
--- a/src/gateway/EndpointLimiter.ts
+++ b/src/gateway/EndpointLimiter.ts
@@ -72,7 +72,7 @@
     const isCold = state.warmUp.isCold(this.#clock.nowMs())
     const reply = await this.#requestAdmission(state.hash, isCold ? 'cold' : 'endpoint')
     const { granted, waitMs } = reply ?? (isCold ? this.#admitByColdShare(state) : this.#admitByOwnShare(state))
-    if (granted) return true
+    if (granted || !this.isLimited(state)) return true // the limit may have ended meanwhile
     const now = this.#clock.nowMs()
     const until = now + Math.min(MAX_WAIT_MS, waitMs)
     state.deferredUntil = Math.max(now + MIN_WAIT_MS, isCold ? Math.min(until, state.warmUp.coldUntil) : until)
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -82,7 +82,7 @@
     this.own(toDisposable(() => this.#states.forEach(s => s.agent.destroy())))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
-      else this.#getOrCreate(endpoint, sinceListMs !== Infinity)
+      else this.#getOrCreate(endpoint, sinceListMs !== Infinity && !this.#isBack(endpoint))
       this.#log.info({ step: 'endpoints', endpoint: endpoint.id, service: endpoint.service, dataCentre: endpoint.dataCentre, kind, sinceListMs: Math.round(sinceListMs) }, 'endpoint')
     }))
     this.own(this.table.onRegroup(services => this.#regroup(services)))
@@ -157,9 +157,12 @@
     return this.#openTo(session).isAllowed?.(dataCentre, session !== undefined) !== false
   }
 
-  /** True when endpoints of the service lie in evacuated data centres. */
-  hasEvacuated (service: string): boolean {
-    return this.#group(service).members.some(state => !this.isOpen(state))
+  /** True when endpoints of the service that the request may get otherwise lie in evacuated data centres. */
+  hasEvacuated (service: string, regions: AllowedRegions): boolean {
+    const evacuations = this.#evacuations
+    if (evacuations === undefined || evacuations.isEmpty) return false
+    const isLeftOut = (dataCentre: string): boolean => evacuations.isClosed(dataCentre) && this.#regionFilter.allows(dataCentre, regions)
+    return this.#group(service).members.some(state => isLeftOut(state.endpoint.dataCentre))
   }
 
   /** True when prompts may be copied from the endpoint with this hash: it is listed, leaving or not. */
@@ -322,14 +325,19 @@
     }
   }
 
-  /** @param isNews true when the endpoint joined after the first list. */
-  #getOrCreate (e: Endpoint, isNews = false): PooledEndpoint {
+  /** True for an incarnation whose entry was missing for a while and that says how long it still warms up. */
+  #isBack (e: Endpoint): boolean {
+    return e.warmUpMs !== undefined && this.table.hasLeft(e, this.#clock.nowMs())
+  }
+
+  /** @param hasStarted true when the endpoint joined after the first list. */
+  #getOrCreate (e: Endpoint, hasStarted = false): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
       state = new PooledEndpoint(e, this.idle)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
-      this.#cold.add(state, isNews, this.#clock.nowMs())
+      this.#cold.add(state, hasStarted, this.#clock.nowMs())
     }
     return state
   }
--- a/src/gateway/EndpointSelector.ts
+++ b/src/gateway/EndpointSelector.ts
@@ -73,7 +73,7 @@
 
   /** True when endpoints of the service are left out as their data centres are evacuated. */
   get hasEvacuated (): boolean {
-    return this.#services.pool.hasEvacuated(this.#service)
+    return this.#services.pool.hasEvacuated(this.#service, this.#regions)
   }
 
   /** Takes an admission of an endpoint that named a limit or is cold; others admit all. False also when the data centre was evacuated meanwhile. */
--- a/src/platform/Records.ts
+++ b/src/platform/Records.ts
@@ -15,6 +15,9 @@
 const DEFAULT_TIMEOUT_MS = 30_000
 const DEFAULT_LIMITS: CallerLimits = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
 
+const DEFAULT_WARM_UP_MS = 3_000 // of a service that limits requests during it and doesn't say how long it takes
+const MAX_REGIONS = 64
+const MAX_REGION_LENGTH = 200
 const MAX_DURATION_MS = 86_400_000 // timers can't take much more than 24 days
 const MAX_SLOTS = 1_000_000
 const MAX_PORT = 65_535
@@ -92,12 +95,14 @@
 /** Regions that a list allows: undefined, for all, when there is no list or an empty one; none when the list can't be read. */
 function parseRegions (value: unknown): readonly string[] | undefined {
   if (value === undefined || value === null || (Array.isArray(value) && value.length === 0)) return undefined
-  return Array.isArray(value) && value.every(region => typeof region === 'string') ? value : []
+  const isReadable = Array.isArray(value) && value.length <= MAX_REGIONS && value.every(region => typeof region === 'string' && region.length <= MAX_REGION_LENGTH)
+  return isReadable ? value as string[] : []
 }
 
 function parseWarmUp (f: Fields): WarmUpLimit | undefined {
   const requestsPerSec = asNumber(f.cold_per_s) ?? 0
-  const durationMs = asDurationMs((asNumber(f.cold_s) ?? 0) * 1_000) ?? 0
+  const seconds = asNumber(f.cold_s) ?? 0
+  const durationMs = seconds > 0 ? Math.min(seconds * 1_000, MAX_DURATION_MS) : DEFAULT_WARM_UP_MS
   return requestsPerSec > 0 ? { durationMs, requestsPerSec } : undefined
 }
 
