--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -15,7 +15,7 @@
 const UNCONFIRMED = 2
 const UNCONFIRMED_REFUTED = 3
 const COUNT_SCALE = 10 // decayed counts are encoded in tenths
-const NOT_LOST = -1 // in place of the time left of an evacuation that the platform still has
+const NO_TIME_LEFT = -1 // for an evacuation that the platform still has, which no time ends
 
 type Row = readonly unknown[]
 
@@ -94,7 +94,7 @@
 }
 
 function evacuationsRow ({ known, version, dataCentres }: EvacuationReport): Row {
-  return [known, version.epoch, version.revision, dataCentres.flatMap(d => [d.name, d.ageMs, d.maxAgeMs, d.leftMs ?? NOT_LOST])]
+  return [known, version.epoch, version.revision, dataCentres.flatMap(d => [d.name, d.ageMs, d.maxAgeMs, d.leftMs ?? NO_TIME_LEFT])]
 }
 
 function evacuationsOf (row: Row): EvacuationReport {
@@ -102,7 +102,7 @@
   const dataCentres = []
   for (let i = 0; i + 3 < flat.length; i += 4) {
     const [name, ageMs, maxAgeMs, leftMs] = flat.slice(i, i + 4)
-    dataCentres.push({ name, ageMs, maxAgeMs, ...leftMs === NOT_LOST ? {} : { leftMs } } as GossipedEvacuation)
+    dataCentres.push({ name, ageMs, maxAgeMs, ...leftMs === NO_TIME_LEFT ? {} : { leftMs } } as GossipedEvacuation)
   }
   return { known, version: { epoch, revision }, dataCentres }
 }
