Don't take an answer as whole evidence when its end isn't marked

Callers saw: requests with a fatal part were sent on without end when engines answered without length or chunks and a parent held their listener: 25 requests reached engines later than 3 s after the fifth crash, 3 are allowed.

Cause: the end of such an answer is the end of its connection, as when its process ends. The port accepted the next connection, so the answer counted as whole, and that cleared the part.

Change: a young answer of this kind clears nothing. It counts as broken off when other connections broke off with it and none that was open before is left, or when its incarnation is gone from the list without having said that it leaves. What the caller receives is unchanged. Endpoints whose every answer ends so cause no probes and no datagrams while they live; a part that is only in such answers, all of them shorter than 1 s, is cleared by none of them.

The new way in EngineProcess.test.ts failed before (25 > 3) and passes; a test of PromptGuard holds both errors. The ways now send for 6 s in place of 8, twice the time that instances have.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -61,6 +61,7 @@
   #answerBeganAt: number | undefined
   #bodyBeganAt: number | undefined
   #matured = false
+  #isEndUnmarked = false
   #settled = false
   /** Finds the end of events that are passed on unchanged, where nothing else marks the end of the answer. */
   #unmarkedEvents: SseFramer | undefined
@@ -90,6 +91,11 @@
     return !this.#matured
   }
 
+  /** True when nothing marked the end of the answer but that its connection ended, as also when its process has ended. */
+  get isEndUnmarked (): boolean {
+    return this.#isEndUnmarked
+  }
+
   /** Log fields of the answer. */
   get answerLine (): AnswerLine {
     const { framing } = this.#exchange
@@ -140,6 +146,7 @@
   onEnd (end: AnswerEnd): void {
     this.#idleTimeout?.dispose()
     const head = this.#head!
+    this.#isEndUnmarked = end !== 'whole'
     if (!this.#streaming && head.notRun) {
       this.#settle({ kind: 'not-run', by: head.misdirected ? 'other-endpoint' : 'endpoint', detail: `status ${head.status}` })
     } else if (this.#endedEarly()) {
--- a/src/gateway/CrashWatch.ts
+++ b/src/gateway/CrashWatch.ts
@@ -7,6 +7,7 @@
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import { hashString } from '../common/Hash.js'
 import { CONNECTIONS_SETTLE_MS, hasProcessEnded, type ConnectionsAt } from '../common/routing/ConnectionEnds.js'
+import { YOUNG_ANSWER_MS } from '../common/routing/PartEvidence.js'
 import { endpointKey, type Endpoint } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { ConnectProbe } from '../router/engines/ConnectProbe.js'
@@ -42,12 +43,20 @@
   ended: boolean
 }
 
+/** Ends of answers that were normal, or the end of their endpoint. */
+interface UnmarkedEnds {
+  readonly at: number
+  readonly parts: ReadonlySet<number>
+}
+
 export class CrashWatch extends Disposable {
   readonly #clock: IClock
   readonly #probeConnection: ConnectProbe
   readonly #listener: ICrashListener
   /** By hash of the incarnation, in order of the first close. */
   readonly #watched = new Map<number, WatchedEndpoint>()
+  /** Young answers of which nothing told whether they were whole, by hash of the incarnation, in order of the last one. */
+  readonly #unmarked = new Map<number, UnmarkedEnds>()
   /** Times of closes that peers saw, by hash of the incarnation. */
   readonly #peerCloses = new Map<number, number>()
   /** Incarnations that are gone from the list: requests that were sent before may still be in flight there. */
@@ -86,9 +95,27 @@
     else this.#settle(hash, parts)
   }
 
+  /**
+   * Records a young answer that ended with its connection and without a mark. That is normal for some endpoints: it counts only when
+   * other connections broke off with it and none is left, or when the endpoint is gone from the list without having said that it leaves.
+   */
+  recordUnmarkedEnd (endpoint: Endpoint, parts: readonly number[], connections: IEndpointConnections): void {
+    const hash = hashString(endpointKey(endpoint))
+    const now = this.#clock.nowMs()
+    const before = this.#unmarked.get(hash)
+    const isRecent = before !== undefined && now - before.at < YOUNG_ANSWER_MS
+    this.#unmarked.delete(hash)
+    this.#unmarked.set(hash, { at: now, parts: new Set([...isRecent ? before.parts : [], ...parts]) })
+    dropOldest(this.#unmarked)
+    this.#afterSettling(() => {
+      if (hasProcessEnded(connections.connectionsAt(now), true)) this.#confirmUnmarked(hash, endpoint.id)
+    })
+  }
+
   /** Records that an endpoint's incarnation is gone from the list. */
   recordGone (endpoint: Endpoint): void {
     const hash = hashString(endpointKey(endpoint))
+    if (!endpoint.leaving) this.#confirmUnmarked(hash, endpoint.id)
     this.#gone.add(hash)
     dropOldest(this.#gone)
     this.#confirm(hash)
@@ -110,13 +137,11 @@
   /** Decides on a close once the connections that end together with it have ended. */
   #settle (hash: number, parts: readonly number[]): void {
     const closedAt = this.#clock.nowMs()
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer)
+    this.#afterSettling(() => {
       const watched = this.#watched.get(hash)
       if (watched !== undefined) this.#checkConnections(hash, watched, closedAt)
       if (watched?.ended === false) this.#listener.onUnconfirmed(parts, hash, watched.id, CONNECTIONS_SETTLE_MS)
-    }, CONNECTIONS_SETTLE_MS)
-    this.#timers.add(timer)
+    })
   }
 
   #checkConnections (hash: number, { connections }: WatchedEndpoint, closedAt: number): void {
@@ -124,6 +149,22 @@
     if (connections !== undefined && hasProcessEnded(connections.connectionsAt(closedAt), seenByPeer)) this.#confirm(hash)
   }
 
+  #afterSettling (decide: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      decide()
+    }, CONNECTIONS_SETTLE_MS)
+    this.#timers.add(timer)
+  }
+
+  #confirmUnmarked (hash: number, id: string): void {
+    const ends = this.#unmarked.get(hash)
+    const ageMs = this.#clock.nowMs() - (ends?.at ?? -Infinity)
+    if (ends === undefined || ageMs > WATCH_MS) return
+    this.#unmarked.delete(hash)
+    this.#listener.onCrash([...ends.parts], hash, id, ageMs)
+  }
+
   #confirm (hash: number): void {
     const watched = this.#watched.get(hash)
     if (watched === undefined || watched.ended || this.isDisposed) return
@@ -140,7 +181,7 @@
   }
 }
 
-function dropOldest (kept: Set<number> | Map<number, number>): void {
+function dropOldest (kept: Set<number> | Map<number, unknown>): void {
   const [oldest] = kept.keys()
   if (kept.size > MAX_KEPT && oldest !== undefined) kept.delete(oldest)
 }
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -157,6 +157,27 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // An answer without length or chunks that the end of its engine cut off counted as whole, which cleared the fatal part.
+  it('counts answers without a marked end when their endpoint has ended, not when it lives on or leaves', async () => {
+    const ids = ['e1', 'e2', 'e3']
+    const alone = { connectionsAt: () => ({ ended: 0, left: 0 }) }
+    const record = async (asked: Prompt): Promise<void> => {
+      for (const id of ids) {
+        fleet.guard(1).recordUnmarkedEnd(endpoint(id), asked, alone)
+        await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+      }
+    }
+    await record(prompt('template', 'other'))
+    fleet.network.sent.clear()
+    for (const id of ids) fleet.guard(1).recordGone({ ...endpoint(id), leaving: true })
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const afterLeaving = [fleet.network.sent.size, await fleet.countSenders(FATAL)]
+    await record(FATAL)
+    for (const id of ids) fleet.guard(1).recordGone(endpoint(id))
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    expect([...afterLeaving, await fleet.countSenders(FATAL)]).toEqual([0, GATEWAYS, 0])
+  })
+
   // Eight gateways of the record had restarted between the crashes, and sent the part on again.
   it('is ready after a start only with the evidence of its peers, also when others start at the same time', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
--- a/src/gateway/PromptGuard.ts
+++ b/src/gateway/PromptGuard.ts
@@ -114,6 +114,11 @@
     this.#watch.recordClose(endpoint, partHashes(prompt), connections)
   }
 
+  /** Records a young answer to the prompt of which nothing tells whether it was whole. */
+  recordUnmarkedEnd (endpoint: Endpoint, prompt: Prompt, connections: IEndpointConnections): void {
+    this.#watch.recordUnmarkedEnd(endpoint, partHashes(prompt), connections)
+  }
+
   /** Records that an endpoint is gone from the list. */
   recordGone (endpoint: Endpoint): void {
     this.#watch.recordGone(endpoint)
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -161,7 +161,7 @@
     state.inFlight--
     const now = clock.nowMs()
     this.#currentAttempt = undefined
-    this.#recordPromptOutcome(state, result, attempt.isYoung)
+    this.#recordPromptOutcome(state, result, attempt)
     this.#recordAttempt(choice, result, now - startedAt, attempt.answerLine)
     return result
   }
@@ -172,11 +172,13 @@
   }
 
   /** Records what the attempt's end tells of the prompt. */
-  #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, isYoung: boolean): void {
+  #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, { isYoung, isEndUnmarked }: Attempt): void {
     const { prompt } = this.#context.request
     if (prompt === undefined) return
     this.#endTrial(wasClosedEarly(result))
-    if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)) this.#recordSound()
+    const succeeded = result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)
+    if (succeeded && isYoung && isEndUnmarked) this.#services.promptGuard.recordUnmarkedEnd(state.endpoint, prompt, state.agent)
+    else if (succeeded) this.#recordSound()
     else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt, state.agent)
   }
 
--- a/src/platform/EngineProcess.test.ts
+++ b/src/platform/EngineProcess.test.ts
@@ -7,6 +7,7 @@
 import { hashString } from '../common/Hash.js'
 import { listOf } from '../common/TestUtils.test.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
+import type { WorkerOptions } from '../standin/PlatformWorker.js'
 import { WorkerSupervisor, type SupervisorOptions } from '../standin/WorkerSupervisor.js'
 import { freePort } from '../tools/FreePort.js'
 import { call, createConfig, sleep, startGateway, waitUntil, type CallResult, type RunningGateway } from './TestUtils.test.js'
@@ -15,6 +16,7 @@
 const ENGINES = 6
 const FATAL = 'bad0'
 const FATAL_INTERVAL_MS = 150
+const SEND_MS = 6_000 // twice `CONTACT_MS`
 const BURST_INTERVAL_MS = 3_500 // longer than `CONTACT_MS`
 const MAX_CRASHES = 5 // engines that the users allow one part to end
 const CONTACT_MS = 3_000 // time that instances have to learn of them
@@ -24,7 +26,7 @@
 interface CrashWay extends Pick<SupervisorOptions, 'listener' | 'restartMs'> {
   /** Time from the start of an incarnation until the list names it. */
   readonly listDelayMs: number
-  readonly endsBeforeHead?: boolean | undefined
+  readonly fatalAnswer?: WorkerOptions['fatalAnswer']
 }
 
 /** Engines in processes of their own behind several gateways. */
@@ -102,10 +104,10 @@
   }
 
   async #startEngine (id: string): Promise<void> {
-    const { listener, restartMs, listDelayMs, endsBeforeHead } = this.#way
+    const { listener, restartMs, listDelayMs, fatalAnswer } = this.#way
     const engine: WorkerSupervisor = new WorkerSupervisor(id, {
       script,
-      worker: { fatalPart: FATAL, endsBeforeHead, workMs: 20, eventIntervalMs: 50 },
+      worker: { fatalPart: FATAL, ...fatalAnswer === undefined ? {} : { fatalAnswer }, workMs: 20, eventIntervalMs: 50 },
       listener,
       restartMs,
       onFatalRequest: () => this.arrivals.push(performance.now()),
@@ -150,12 +152,13 @@
   it.each([
     ['is back on the same port at once', { listener: 'child', restartMs: 0, listDelayMs: 200 }],
     ['is back at once behind a listener that its parent holds, with a late list', { listener: 'parent', restartMs: 0, listDelayMs: 6_000 }],
-    ['ends before the head of its answer is sent', { listener: 'child', restartMs: 300, listDelayMs: 200, endsBeforeHead: true }],
+    ['ends before the head of its answer is sent', { listener: 'child', restartMs: 300, listDelayMs: 200, fatalAnswer: 'none' }],
+    ['ends an unframed answer behind a listener that its parent holds', { listener: 'parent', restartMs: 0, listDelayMs: 1_000, fatalAnswer: 'unframed event' }],
     ['is back after 1.5 s behind a listener that its parent holds, with a late list', { listener: 'parent', restartMs: 1_500, listDelayMs: 6_000 }]
   ] as const)('is kept from engines when the engine %s', async (_, way) => {
     site = new EngineSite(way)
     await site.start()
-    const sound = await sendBoth(8_000)
+    const sound = await sendBoth(SEND_MS)
     expect(site.laterRequests).toBeLessThanOrEqual(MAX_LATER_REQUESTS)
     expect(sound).toEqual(sound.map(() => 200))
   })
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -46,8 +46,8 @@
 export interface WorkerOptions {
   /** Id of a prompt part: the worker ends when it begins to answer a request with this part. */
   readonly fatalPart?: string
-  /** True to end before the head of the answer is sent. */
-  readonly endsBeforeHead?: boolean
+  /** How much of the answer to a fatal request is sent: an event in part in chunks by default, no head, or a whole event without length or chunks. */
+  readonly fatalAnswer?: 'none' | 'unframed event'
   /** Called for each request with the fatal part that arrives. */
   readonly onFatalRequest?: () => void
   /** Called when the worker has ended by the fatal part. */
@@ -203,13 +203,15 @@
 
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
-    if (this.#options.endsBeforeHead === true && this.#isFatal(req)) {
+    const { fatalAnswer } = this.#options
+    if (fatalAnswer === 'none' && this.#isFatal(req)) {
       this.#crash()
       return
     }
+    if (fatalAnswer === 'unframed event' && this.#isFatal(req)) res.useChunkedEncodingByDefault = false
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     res.flushHeaders()
-    if (this.#isFatal(req)) res.write('id: 1\ndata: to', () => this.#crash())
+    if (this.#isFatal(req)) res.write(fatalAnswer === undefined ? 'id: 1\ndata: to' : 'id: 1\ndata: token1\n\n', () => this.#crash())
     else this.#writeEvent(req, res, Number(req.headers['last-event-id'] ?? 0) + 1, this.mode)
   }
 
--- a/src/standin/WorkerProcess.ts
+++ b/src/standin/WorkerProcess.ts
@@ -6,7 +6,7 @@
 import { PlatformWorker, type WorkerOptions } from './PlatformWorker.js'
 
 /** Options of the worker that fit into a command line. */
-export type WorkerProcessOptions = Pick<WorkerOptions, 'fatalPart' | 'endsBeforeHead' | 'workMs' | 'eventIntervalMs'>
+export type WorkerProcessOptions = Pick<WorkerOptions, 'fatalPart' | 'fatalAnswer' | 'workMs' | 'eventIntervalMs'>
 
 /** Message from the parent: listens on a port of its own, or serves the connection that comes with the message. */
 export type WorkerCommand = { readonly listen: number } | 'connection'
