Take back only requests with a part that is newly blocked

Callers saw: a prompt that had been let through as a trial, one at a time, was stopped before its answer began when any other part was blocked; the trial had no result.

Cause: the event that a part is blocked named all blocked parts, those from before too, which such a prompt has.

Change: it names the new ones. A request that began after a part was blocked was checked against it. The new test of PromptGuard failed before: all 20 gateways were told of the part again.

--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -236,6 +236,19 @@
     expect(told).toEqual(Array.from({ length: GATEWAYS }, () => true))
   })
 
+  // A prompt that was under way as a trial was taken back each time that another part was blocked.
+  it('tells them of the parts that were not blocked before', async () => {
+    const other = prompt('another', 'bad')
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    const told: boolean[] = []
+    for (const guard of fleet.guards.values()) guard.onBlocked(parts => told.push(guard.hasPartOf(FATAL, parts)))
+    for (const id of ['e4', 'e5', 'e6']) {
+      fleet.guard(2).recordClose(endpoint(id), other)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(told).toEqual(Array.from({ length: GATEWAYS }, () => false))
+  })
+
   // What one gateway had dropped for room came back as news from another one, and went round the fleet again without end.
   it('comes to rest when there is more evidence than gateways keep', async () => {
     for (let i = 0; i < 40; i++) {
--- a/src/gateway/PromptGuard.ts
+++ b/src/gateway/PromptGuard.ts
@@ -40,7 +40,7 @@
   readonly #trials = new WeakMap<Prompt, number>()
   #blockedParts: ReadonlySet<number> = new Set()
 
-  /** Fires with all blocked parts when one more is blocked. */
+  /** Fires with the parts that are blocked from now on. */
   readonly onBlocked = this.#blocked.event
 
   constructor (
@@ -168,7 +168,7 @@
     }
     const added = [...this.#blockedParts].filter(part => !before.has(part))
     for (const part of added) this.#log.warn({ step: 'prompts', part, crashes: news.filter(n => n.part === part).length }, 'part blocked')
-    if (added.length > 0) this.#blocked.fire(this.#blockedParts)
+    if (added.length > 0) this.#blocked.fire(new Set(added))
   }
 }
 
