Test that a fatal part is kept from engines while gateways are replaced

All three gateways are replaced one after the other while requests with a fatal part arrive, with engines behind a listener that their parent holds and a list that is 2 s late.

--- a/src/platform/EngineProcess.test.ts
+++ b/src/platform/EngineProcess.test.ts
@@ -17,6 +17,7 @@
 const FATAL = 'bad0'
 const FATAL_INTERVAL_MS = 150
 const SEND_MS = 6_000 // twice `CONTACT_MS`
+const REPLACE_INTERVAL_MS = 500
 const BURST_INTERVAL_MS = 3_500 // longer than `CONTACT_MS`
 const MAX_CRASHES = 5 // engines that the users allow one part to end
 const CONTACT_MS = 3_000 // time that instances have to learn of them
@@ -63,6 +64,12 @@
     return gateway
   }
 
+  /** Starts a gateway and ends the oldest one, whose requests in flight break off. */
+  async replaceGateway (address: string): Promise<void> {
+    await this.startGateway(address)
+    this.gateways.shift()!.stop()
+  }
+
   /** Requests with the fatal part that reached engines later than `CONTACT_MS` after the last crash that the users allow. */
   get laterRequests (): number {
     const lastAllowed = this.crashes[MAX_CRASHES - 1] ?? Infinity
@@ -163,6 +170,20 @@
     expect(sound).toEqual(sound.map(() => 200))
   })
 
+  // A gateway that starts knows nothing of the crashes by itself, and owns leases of which it knows nothing.
+  it('is kept from engines while all gateways are replaced', async () => {
+    site = new EngineSite({ listener: 'parent', restartMs: 0, listDelayMs: 2_000 })
+    await site.start()
+    const sent = sendBoth(SEND_MS)
+    for (let i = GATEWAYS + 1; i <= 2 * GATEWAYS; i++) {
+      await sleep(REPLACE_INTERVAL_MS)
+      await site.replaceGateway(`127.0.0.${i}`)
+    }
+    await sent
+    expect(site.crashes.length).toBeLessThanOrEqual(MAX_CRASHES + MAX_LATER_REQUESTS)
+    expect(site.laterRequests).toBeLessThanOrEqual(MAX_LATER_REQUESTS)
+  })
+
   // Engines that ended together counted as one crash, however many: the next six requests ended all engines again.
   it('is kept from engines when it ends all of them at once, again and again', async () => {
     site = new EngineSite({ listener: 'child', restartMs: 500, listDelayMs: 100 })
