--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -159,6 +159,27 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // An answer without length or chunks that the end of its engine cut off counted as whole, which cleared the fatal part.
+  it('counts answers without a marked end when their endpoint has ended, not when it lives on or leaves', async () => {
+    const ids = ['e1', 'e2', 'e3']
+    const alone = { connectionsAt: () => ({ ended: 0, left: 0 }) }
+    const record = async (asked: Prompt): Promise<void> => {
+      for (const id of ids) {
+        fleet.guard(1).recordUnmarkedEnd(endpoint(id), asked, alone)
+        await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+      }
+    }
+    await record(prompt('template', 'other'))
+    fleet.network.sent.clear()
+    for (const id of ids) fleet.guard(1).recordGone({ ...endpoint(id), leaving: true })
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const afterLeaving = [fleet.network.sent.size, await fleet.countSenders(FATAL)]
+    await record(FATAL)
+    for (const id of ids) fleet.guard(1).recordGone(endpoint(id))
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    expect([...afterLeaving, await fleet.countSenders(FATAL)]).toEqual([0, GATEWAYS, 0])
+  })
+
   // Eight gateways of the record had restarted between the crashes, and sent the part on again.
   it('is ready after a start only with the evidence of its peers, also when others start at the same time', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
@@ -217,6 +238,19 @@
     expect(told).toEqual(Array.from({ length: GATEWAYS }, () => true))
   })
 
+  // A prompt that was under way as a trial was taken back each time that another part was blocked.
+  it('tells them of the parts that were not blocked before', async () => {
+    const other = prompt('another', 'bad')
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    const told: boolean[] = []
+    for (const guard of fleet.guards.values()) guard.onBlocked(parts => told.push(guard.hasPartOf(FATAL, parts)))
+    for (const id of ['e4', 'e5', 'e6']) {
+      fleet.guard(2).recordClose(endpoint(id), other)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(told).toEqual(Array.from({ length: GATEWAYS }, () => false))
+  })
+
   // What one gateway had dropped for room came back as news from another one, and went round the fleet again without end.
   it('comes to rest when there is more evidence than gateways keep', async () => {
     for (let i = 0; i < 40; i++) {
