Serve a gateway's state on its metrics address

Which revision, list, evacuations, cold endpoints and limits a gateway had in force could only be put together from its logs and metrics, which have no endpoint's name with the time left.

GET /status on the metrics address returns them as JSON, from a type in src/common, as radishloftctl may not import from the gateway. Neither the readiness address nor the callers' one serves it: both are open to the load balancer and to callers. Keys and names of client accounts aren't in it. Ages are null before the first read, as JSON has no Infinity.

--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -127,6 +127,16 @@
     return this.#cold.size
   }
 
+  /** States of all endpoints that are known. */
+  get states (): Iterable<PooledEndpoint> {
+    return this.#states.values()
+  }
+
+  /** True when the endpoint leaves, by the list or by its own word. */
+  isLeaving (state: EndpointState): boolean {
+    return state.isLeaving || this.table.get(state.endpoint.id)?.leaving === true
+  }
+
   /** Records that a read of the list which began `ageMs` ago failed. */
   readFailed (ageMs: number): void {
     this.table.recordReadFailure(this.#clock.nowMs() - ageMs)
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -4,6 +4,7 @@
 import { Disposable } from '../common/Disposable.js'
 import { connectionLimits } from '../common/limits/ConnectionLimits.js'
 import { SharedRetryBudget, type IFleetView, type RetryLimits } from '../common/limits/SharedRetryBudget.js'
+import type { GatewayStatus } from '../common/GatewayStatus.js'
 import { hashString } from '../common/Hash.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
 import type { ListVersion } from '../common/generated/PeerDatagram.js'
@@ -19,6 +20,7 @@
 import { EndpointPool } from './EndpointPool.js'
 import { EvacuationHolder } from './EvacuationHolder.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
+import { createGatewayStatus } from './GatewayStatus.js'
 import { GossipTask, type IGossipHost } from './GossipTask.js'
 import { MembershipTask } from './MembershipTask.js'
 import { CONFIG_TOPIC, LIST_TOPIC } from './Peers.js'
@@ -145,7 +147,7 @@
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
     if (this.#evacuations !== undefined) this.own(this.#evacuations.onChange(() => this.#gossip.gossipChange()))
-    this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
+    this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer({ ...source, status: () => this.status }))]
   }
 
   /** True when the load balancer should send callers to this gateway. */
@@ -159,6 +161,13 @@
     return this.#config.revision
   }
 
+  /** State for operators. */
+  get status (): GatewayStatus {
+    const { id, dataCentre } = this.#settings
+    const parts = { id, dataCentre, ready: this.ready, config: this.#config, pool: this.#pool, evacuations: this.#evacuations, peers: this.#peers }
+    return createGatewayStatus(parts, this.#clock.nowMs())
+  }
+
   /** Applies a configuration that was read from the platform, unless a newer one is in force. */
   updateConfig (config: RoutingConfig): void {
     this.#config.update(config)
--- a/src/gateway/StatusServer.ts
+++ b/src/gateway/StatusServer.ts
@@ -1,7 +1,8 @@
-/** HTTP server for readiness checks and metrics. */
+/** HTTP server for readiness checks, metrics and, at the address of the metrics, the gateway's state. */
 import { createServer, type Server } from 'node:http'
 import polka, { type Polka, type Request } from 'polka'
 import { Disposable, toDisposable } from '../common/Disposable.js'
+import { GATEWAY_STATUS_PATH, type GatewayStatus } from '../common/GatewayStatus.js'
 import { listen } from '../router/callers/HttpUtils.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
@@ -11,11 +12,14 @@
   readonly metricsPath: string
   readonly metrics: GatewayMetrics
   ready (): boolean
+  /** State for operators; absent where it isn't served. */
+  readonly status?: () => GatewayStatus
 }
 
-/** Builds the routes that all status servers share. */
+/** Builds the routes of a status server. */
 export function statusApp (source: StatusSource): Polka {
-  return polka()
+  const { status } = source
+  const app = polka()
     .get(source.readinessPath, (_req, res) => {
       res.statusCode = source.ready() ? 200 : 503
       res.end(source.ready() ? 'ready\n' : 'not ready\n')
@@ -24,6 +28,11 @@
       res.setHeader('Content-Type', source.metrics.registry.contentType)
       res.end(await source.metrics.registry.metrics())
     })
+  if (status === undefined) return app
+  return app.get(GATEWAY_STATUS_PATH, (_req, res) => {
+    res.setHeader('Content-Type', 'application/json')
+    res.end(JSON.stringify(status()) + '\n')
+  })
 }
 
 export class StatusServer extends Disposable {
