--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -8,10 +8,13 @@
 import type { VotedFile } from '../common/generated/VotedFile.js'
 import { FleetClient, type FleetRow } from './FleetClient.js'
 import { formatTable } from '../common/Table.js'
+import { readGatewayStatus } from './GatewayClient.js'
+import { formatGatewayStatus } from './GatewayTable.js'
 
 const EXIT_FAILURE = 1
 const EXIT_USAGE = 2
 const POLL_MS = 200
+const NODE_HELP = 'peer address of any instance'
 
 interface NodeFlags {
   readonly node: string
@@ -19,6 +22,12 @@
   readonly json?: boolean
 }
 
+/** Either `node` or `gateway` is given. */
+interface StatusFlags extends Omit<NodeFlags, 'node'> {
+  readonly node?: string
+  readonly gateway?: string
+}
+
 function print (json: boolean | undefined, value: unknown, text: string): void {
   console.log(json === true ? JSON.stringify(value) : text)
 }
@@ -76,7 +85,19 @@
   return rows.value
 }
 
-async function status (flags: NodeFlags): Promise<void> {
+async function status ({ node, gateway, ...flags }: StatusFlags): Promise<void> {
+  if (node !== undefined && gateway === undefined) return await fleetStatus({ node, ...flags })
+  if (gateway !== undefined && node === undefined) return await gatewayStatus(gateway, flags.json)
+  fail('pass either --node or --gateway', EXIT_USAGE)
+}
+
+async function gatewayStatus (gateway: string, json: boolean | undefined): Promise<void> {
+  const read = await readGatewayStatus(gateway)
+  if (read.isErr()) return fail(`${read.error.peer}: ${read.error.detail}`, EXIT_USAGE)
+  print(json, read.value, formatGatewayStatus(read.value))
+}
+
+async function fleetStatus (flags: NodeFlags): Promise<void> {
   const rows = await fetchRows(flags)
   const table = rows.map(({ id, status: s }) => {
     if (s.isErr()) return [id, '-', '-', '-', '-', '-', s.error.detail]
@@ -123,8 +144,11 @@
 }
 
 function addNodeOptions (command: Command): Command {
+  return addSecretOptions(command.requiredOption('--node <ip:port>', NODE_HELP))
+}
+
+function addSecretOptions (command: Command): Command {
   return command
-    .requiredOption('--node <ip:port>', 'peer address of any instance')
     .option('--secret <secret>', 'peer secret; default: RADISHLOFT_PEER_SECRET')
     .option('--json', 'print JSON')
 }
@@ -132,7 +156,10 @@
 const program = new Command('radishloftctl').description('Command-line tool for operating a radishloft router fleet')
 program.command('check').argument('<file>').option('--json', 'print JSON').description('check a configuration file').action(check)
 program.command('diff').argument('<old>').argument('<new>').option('--json', 'print JSON').description('show what a configuration file would change').action(diff)
-addNodeOptions(program.command('status')).description('show the state of each instance').action(status)
+addSecretOptions(program.command('status')).description('show the state of each router, or of one gateway')
+  .option('--node <ip:port>', NODE_HELP)
+  .option('--gateway <ip:port>', 'metrics address of a gateway; needs no secret')
+  .action(status)
 addNodeOptions(program.command('wait')).description('wait until a configuration file is in force on all instances')
   .requiredOption('--digest <digest>', 'digest as printed by check')
   .option('--timeout <seconds>', 'timeout in seconds', Number, 10)
