--- a/src/gateway/EndpointPool.test.ts
+++ b/src/gateway/EndpointPool.test.ts
@@ -200,6 +200,15 @@
     expect([at0, at1 > 5 && at1 < 35, at2, copies0, copies2, pool.isCopySource(inDc0), pool.isUsable(inDc0)]).toEqual([40, true, 0, true, true, false, true])
   })
 
+  // A request that its regions left without an endpoint was refused as if an evacuation were the reason.
+  it('counts only evacuated data centres that the request may use', () => {
+    const evacuations = new EvacuationHolder(BOUND_MS, new FakeClock(), pino({ level: 'silent' }))
+    const pool = new EndpointPool(new FakeClock(), pino({ level: 'silent' }), { evacuations, regionOf: new Map([['dc0', 'north'], ['dc1', 'south']]) })
+    pool.update({ version: { epoch: 1, revision: 1 }, endpoints: [endpoint(0), endpoint(1)] }, 0)
+    evacuations.update(['dc0'], { epoch: 1, revision: 2 }, 0)
+    expect([undefined, ['north'], ['south']].map(regions => pool.hasEvacuated('engines', regions))).toEqual([true, true, false])
+  })
+
   // A choice was used though an evacuation had come while the request waited for an admission or its connection.
   it('tells of a choice whether it still holds', () => {
     const { pool, evacuations } = createEvacuated()
