--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at one endpoint: forwards a stream as it arrives, buffers any other response until it is complete. */
 import type { AnswerEnd } from '../common/http/AnswerFraming.js'
 import { ByteBuffer } from '../common/http/ByteBuffer.js'
+import type { IByteReservation } from '../common/limits/ByteBudget.js'
 import { YOUNG_ANSWER_MS } from '../common/routing/PartEvidence.js'
 import { SseFramer } from '../common/sse/SseFramer.js'
 import type { CallerResponse } from './CallerResponse.js'
@@ -12,6 +13,7 @@
 import type { HeaderList, ResponseHead } from './Types.js'
 
 const MAX_BUFFERED_BYTES = 1_048_576 // a larger response is forwarded as it arrives
+const SMALL_BYTES = 16_384 // kept without a reservation
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -19,8 +21,8 @@
   | { readonly kind: 'streamed', readonly status: number }
   /** A complete response, not yet sent to the caller. */
   | { readonly kind: 'answered', readonly head: ResponseHead, readonly body: Uint8Array }
-  /** The endpoint can't have run the request; `other-endpoint` answered in its place. */
-  | { readonly kind: 'not-run', readonly by: 'connect' | 'endpoint' | 'other-endpoint', readonly detail: string }
+  /** The endpoint can't have run the request; `other-endpoint` answered in its place, `withdrawn` when this instance didn't write it. */
+  | { readonly kind: 'not-run', readonly by: 'connect' | 'withdrawn' | 'endpoint' | 'other-endpoint', readonly detail: string }
   /** The request may have run; nothing was sent to the caller. */
   | { readonly kind: 'lost', readonly why: 'reset' | 'silent' | 'untrusted', readonly detail: string }
   /**
@@ -55,6 +57,8 @@
   readonly onUnmarked: () => void
   /** Called at the end of such an answer; resolves to what was found out. */
   readonly confirmEnd: () => Promise<EndVerdict>
+  /** Takes the bytes of a response that is kept until it is complete; one that finds no room is forwarded as it arrives. */
+  readonly reservation: IByteReservation
   /** Decodes a response head. @param isReused true when the connection carried an earlier request. */
   readonly decodeHead: (status: number, headers: HeaderList, isReused: boolean) => ResponseHead
 }
@@ -69,6 +73,7 @@
   #answerBeganAt: number | undefined
   #bodyBeganAt: number | undefined
   #matured = false
+  #isEndUnmarked = false
   #settled = false
   /** Finds the end of events that are passed on unchanged, where nothing else marks the end of the answer. */
   #unmarkedEvents: SseFramer | undefined
@@ -94,9 +99,14 @@
     return this.#answerBeganAt
   }
 
-  /** True when the answer had begun, and its body not gone on for `YOUNG_ANSWER_MS`. */
-  get isYoungAnswer (): boolean {
-    return this.#answerBeganAt !== undefined && !this.#matured
+  /** True unless the body of the answer has gone on for `YOUNG_ANSWER_MS`; an endpoint that ends may take the head of its answer with it. */
+  get isYoung (): boolean {
+    return !this.#matured
+  }
+
+  /** True when nothing marked the end of the answer but that its connection ended, as also when its process has ended. */
+  get isEndUnmarked (): boolean {
+    return this.#isEndUnmarked
   }
 
   /** Log fields of the answer. */
@@ -143,14 +153,19 @@
       return
     }
     this.#idleTimeout?.restart()
-    if (this.#buffered.push(bytes)) return
+    if (this.#mayKeep(bytes.length) && this.#buffered.push(bytes)) return
     this.#startStreaming()
     this.#write(bytes)
   }
 
+  #mayKeep (bytes: number): boolean {
+    return this.#buffered.length + bytes <= SMALL_BYTES || this.#options.reservation.grow(bytes)
+  }
+
   onEnd (end: AnswerEnd): void {
     this.#idleTimeout?.dispose()
     const head = this.#head!
+    this.#isEndUnmarked = end !== 'whole'
     if (!this.#streaming && head.notRun) {
       this.#settle({ kind: 'not-run', by: head.misdirected ? 'other-endpoint' : 'endpoint', detail: `status ${head.status}` })
     } else if (this.#endedEarly()) {
@@ -201,7 +216,7 @@
   }
 
   onError (failure: ExchangeFailure, sent: boolean, detail: string): void {
-    if (!sent) this.#settle({ kind: 'not-run', by: 'connect', detail })
+    if (!sent) this.#settle({ kind: 'not-run', by: failure === 'withdrawn' ? failure : 'connect', detail })
     else if (failure === 'invalid') this.#settle({ kind: 'lost', why: 'untrusted', detail })
     else this.#settleBrokenOff(`${failure}: ${detail}`)
   }
--- a/src/gateway/EndpointExchange.ts
+++ b/src/gateway/EndpointExchange.ts
@@ -17,10 +17,15 @@
   readonly headers: HeaderList
   readonly body: Uint8Array
   readonly connectTimeoutMs: number
+  /** Asked once a connection is open: false withdraws the request before any byte of it is written. Absent: it is written. */
+  readonly mayWrite?: () => boolean
 }
 
-/** Why an exchange ended without a complete response; `invalid` when what arrived isn't a final response. */
-export type ExchangeFailure = 'connect' | 'reset' | 'aborted' | 'invalid'
+/**
+ * Why an exchange ended without a complete response; `withdrawn` when the request was not to be written any more, `invalid` when what
+ * arrived isn't a final response.
+ */
+export type ExchangeFailure = 'connect' | 'withdrawn' | 'reset' | 'aborted' | 'invalid'
 
 /** Callbacks of one exchange; exactly one of `onEnd` and `onError` is called, last. */
 export interface IExchangeSink {
@@ -36,6 +41,7 @@
 export class EndpointExchange {
   /** Undefined when the request can't be expressed in HTTP, as with an address or header that isn't valid. */
   readonly #req: ClientRequest | undefined
+  readonly #agent: EndpointAgent
   readonly #sink: IExchangeSink
   readonly #body = new PieceJoiner(bytes => { if (!this.#settled) this.#sink.onData(bytes) })
   #res: IncomingMessage | undefined
@@ -46,6 +52,7 @@
   #failure: ExchangeFailure = 'connect'
 
   constructor (agent: EndpointAgent, call: ExchangeRequest, sink: IExchangeSink) {
+    this.#agent = agent
     this.#sink = sink
     try {
       this.#req = this.#start(agent, call)
@@ -87,7 +94,7 @@
   #start (agent: EndpointAgent, call: ExchangeRequest): ClientRequest {
     const { address: host, port, method, target: path } = call
     const req = request({ agent, host, port, method, path, setHost: false, headers: call.headers as unknown as string[] })
-    req.on('socket', socket => this.#onSocket(socket, call.connectTimeoutMs))
+    req.on('socket', socket => this.#onSocket(socket, call))
     req.on('response', res => this.#onResponse(res))
     req.on('error', e => this.#fail(e.message))
     req.on('close', () => this.#fail('closed before the answer'))
@@ -96,22 +103,29 @@
     return req
   }
 
-  #onSocket (socket: Socket, connectTimeoutMs: number): void {
+  #onSocket (socket: Socket, call: ExchangeRequest): void {
     if (this.#settled) {
       socket.destroy()
       return
     }
     if (!socket.connecting) {
-      this.#markSent()
+      this.#markSent(call)
       return
     }
+    const { connectTimeoutMs } = call
     this.#connectTimeout = new InputTimeout(connectTimeoutMs, () => this.#fail(`no connection within ${connectTimeoutMs} ms`))
-    socket.once('connect', () => this.#markSent())
+    socket.once('connect', () => this.#markSent(call)) // before Node writes, which it does in a later listener
   }
 
-  #markSent (): void {
+  /** Called on an open connection, before the first byte is written. */
+  #markSent (call: ExchangeRequest): void {
     this.#connectTimeout?.dispose()
     if (this.#settled) return
+    if (call.mayWrite?.() === false) {
+      this.#failure = 'withdrawn'
+      this.#fail('withdrawn before it was written')
+      return
+    }
     this.#sent = true
     this.#failure = 'reset'
   }
@@ -167,6 +181,7 @@
     if (this.#settled) return
     this.#settled = true
     this.#connectTimeout?.dispose()
+    if (this.#failure === 'reset') this.#agent.recordEnd()
     this.#sink.onError(this.#failure, this.#sent, detail)
     this.#req?.destroy()
   }
--- a/src/gateway/EndpointPool.ts
+++ b/src/gateway/EndpointPool.ts
@@ -1,7 +1,7 @@
 /** Holds the state and the connections of each listed endpoint, and updates them as the list of endpoints changes. */
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { GossipedLimit, GossipedLoad, ListVersion } from '../common/generated/PeerDatagram.js'
-import { Candidates } from '../common/routing/Candidates.js'
+import { Candidates, type CandidateFilter } from '../common/routing/Candidates.js'
 import { DataCentreHealth } from '../common/routing/DataCentreHealth.js'
 import { EndpointGroup } from '../common/routing/EndpointGroup.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
@@ -9,24 +9,58 @@
 import { EndpointTable } from '../common/routing/EndpointTable.js'
 import { LimitReports } from '../common/routing/LimitReports.js'
 import { LOAD_REPORT_TTL_MS, LoadReports, MIN_REPORTED_OUTCOMES } from '../common/routing/LoadReports.js'
-import type { Endpoint, EndpointList } from '../common/routing/Types.js'
+import { RegionFilter, type AllowedRegions } from '../common/routing/RegionFilter.js'
+import type { Endpoint, EndpointList, Service, WarmUpLimit } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
+import { ColdEndpoints } from './ColdEndpoints.js'
 import { EndpointAgent } from './EndpointAgent.js'
 import { EndpointLiveness } from './EndpointLiveness.js'
+import type { EvacuationHolder } from './EvacuationHolder.js'
+import { IdleConnections } from './IdleConnections.js'
 
 const NONE_TRIED: ReadonlySet<string> = new Set()
 
+/** What a pool depends on in a deployment. */
+export interface EndpointPoolOptions {
+  /** Undefined where data centres are never evacuated. */
+  readonly evacuations?: EvacuationHolder | undefined
+  /** Region of each data centre. */
+  readonly regionOf?: ReadonlyMap<string, string> | undefined
+  /** Connections to all endpoints together that are kept for their next request. */
+  readonly maxIdleConnections?: number
+}
+
+/** What narrows the choice among the endpoints of a service for one request. */
+export interface PlacementScope {
+  /** Ids of endpoints to which the request was sent before. */
+  readonly tried?: ReadonlySet<string>
+  /** Data centre outside of which no endpoint is taken while it has one left. */
+  readonly only?: string | undefined
+  /** Hash of the request's session, which leaves its engine in an evacuated data centre at a time of its own. */
+  readonly session?: number | undefined
+  /** Regions outside of which no endpoint is taken at all. */
+  readonly regions?: AllowedRegions
+}
+
 /** State of an endpoint with its connections. */
 export class PooledEndpoint extends EndpointState {
-  readonly agent = new EndpointAgent()
+  readonly agent: EndpointAgent
   readonly liveness = new EndpointLiveness(this.endpoint)
+
+  constructor (endpoint: Endpoint, idle: IdleConnections) {
+    super(endpoint)
+    this.agent = new EndpointAgent(idle)
+  }
 }
 
 export class EndpointPool extends Disposable {
   readonly table = new EndpointTable()
   readonly #clock: IClock
   readonly #log: Log
+  readonly #evacuations: EvacuationHolder | undefined
+  /** Unused connections to all endpoints. */
+  readonly idle: IdleConnections
   /** States of the listed endpoints by id. */
   readonly #states = new Map<string, PooledEndpoint>()
   readonly #byHash = new Map<number, PooledEndpoint>()
@@ -34,20 +68,26 @@
   readonly #reports = new LoadReports()
   readonly #limits = new LimitReports()
   readonly #reachability = new DataCentreHealth()
+  readonly #cold: ColdEndpoints
+  readonly #regionFilter: RegionFilter
   /** Lists ignored since the last one that was applied: only the first is logged. */
   #ignoredLists = 0
 
-  constructor (clock: IClock, log: Log) {
+  constructor (clock: IClock, log: Log, { evacuations, regionOf = new Map(), maxIdleConnections = Infinity }: EndpointPoolOptions = {}) {
     super()
+    this.idle = new IdleConnections(maxIdleConnections)
     this.#clock = clock
     this.#log = log
+    this.#evacuations = evacuations
+    this.#cold = new ColdEndpoints(log)
+    this.#regionFilter = new RegionFilter(regionOf)
     this.own(toDisposable(() => this.#states.forEach(s => {
       s.agent.destroy()
       s.liveness.dispose()
     })))
     this.own(this.table.onChange(({ endpoint, kind, sinceListMs }) => {
       if (kind === 'gone') this.#remove(endpoint)
-      else this.#getOrCreate(endpoint)
+      else this.#getOrCreate(endpoint, sinceListMs !== Infinity && !this.#isBack(endpoint))
       this.#log.info({ step: 'endpoints', endpoint: endpoint.id, service: endpoint.service, dataCentre: endpoint.dataCentre, kind, sinceListMs: Math.round(sinceListMs) }, 'endpoint')
     }))
     this.own(this.table.onRegroup(services => this.#regroup(services)))
@@ -64,6 +104,7 @@
     const own = this.table.version
     const applied = this.table.update(list, now - ageMs, now)
     if (applied) {
+      this.#cold.recordList(list, id => this.#states.get(id), now - ageMs, now)
       this.#ignoredLists = 0
       if (own.epoch > 0 && list.version.epoch > own.epoch) this.#log.warn({ step: 'endpoints', version: list.version, own }, 'platform was restored from a copy')
     } else if (this.#ignoredLists++ === 0) {
@@ -76,6 +117,30 @@
   confirm (version: ListVersion, ageMs: number): void {
     const now = this.#clock.nowMs()
     this.table.confirm(version, now - ageMs, now)
+    this.#cold.recordSameList(now - ageMs, now)
+  }
+
+  /** Applies the warm-up of the services in the configuration in force. */
+  updateServices (services: readonly Service[]): void {
+    const limits = new Map<string, WarmUpLimit>()
+    for (const { id, warmUp } of services) if (warmUp !== undefined) limits.set(id, warmUp)
+    this.#cold.setLimits(limits, this.#states.values(), this.#clock.nowMs())
+    this.table.setWarmingServices(new Set(limits.keys()))
+  }
+
+  /** Number of cold endpoints when the list was last read. */
+  get coldEndpoints (): number {
+    return this.#cold.size
+  }
+
+  /** States of all endpoints that are known. */
+  get states (): Iterable<PooledEndpoint> {
+    return this.#states.values()
+  }
+
+  /** True when the endpoint leaves, by the list or by its own word. */
+  isLeaving (state: EndpointState): boolean {
+    return state.isLeaving || this.table.get(state.endpoint.id)?.leaving === true
   }
 
   /** Records that a read of the list which began `ageMs` ago failed. */
@@ -83,10 +148,42 @@
     this.table.recordReadFailure(this.#clock.nowMs() - ageMs)
   }
 
-  /** True when the endpoint with this hash is listed and not leaving. */
-  isUsable (hash: number): boolean {
+  /** True when the endpoint with this hash is listed and in these regions. */
+  isWithin (hash: number, regions: AllowedRegions): boolean {
     const state = this.#byHash.get(hash)
-    return state !== undefined && this.table.get(state.endpoint.id)?.leaving === false
+    return state !== undefined && this.#regionFilter.allows(state.endpoint.dataCentre, regions)
+  }
+
+  /**
+   * True when the endpoint with this hash is listed and not leaving.
+   * @param session hash of a session that it holds: false when that has left the endpoint's evacuated data centre.
+   */
+  isUsable (hash: number, session?: number): boolean {
+    const state = this.#byHash.get(hash)
+    const isListed = state !== undefined && this.table.get(state.endpoint.id)?.leaving === false
+    return isListed && (session === undefined || this.isOpen(state, session))
+  }
+
+  /**
+   * False when the endpoint may not get a request, as its data centre is evacuated.
+   * @param session hash of the request's session, if the endpoint holds its prompt.
+   */
+  isOpen ({ endpoint: { dataCentre } }: EndpointState, session?: number): boolean {
+    return this.#openTo(session).isAllowed?.(dataCentre, session !== undefined) !== false
+  }
+
+  /** True when endpoints of the service that the request may get otherwise lie in evacuated data centres. */
+  hasEvacuated (service: string, regions: AllowedRegions): boolean {
+    const evacuations = this.#evacuations
+    if (evacuations === undefined || evacuations.isEmpty) return false
+    const isLeftOut = (dataCentre: string): boolean => evacuations.isClosed(dataCentre) && this.#regionFilter.allows(dataCentre, regions)
+    return this.#group(service).members.some(state => isLeftOut(state.endpoint.dataCentre))
+  }
+
+  /** True when prompts may be copied from the endpoint with this hash: it is listed, leaving or not. */
+  isCopySource (hash: number): boolean {
+    const state = this.#byHash.get(hash)
+    return state !== undefined && this.#evacuations?.mayCopyFrom(state.endpoint.dataCentre) !== false
   }
 
   /** True when the endpoint with this hash is listed, leaving or not. */
@@ -176,11 +273,20 @@
     return this.#group(state.endpoint.service).othersFailureRate(state, this.#clock.nowMs())
   }
 
-  /** Endpoints of a service that accept new requests, except those in `tried`. @param only data centre outside of which none is taken while it has one left. */
-  candidates (service: string, tried: ReadonlySet<string> = NONE_TRIED, only?: string): Candidates {
+  /** Endpoints of a service that accept new requests of this scope. */
+  candidates (service: string, { tried = NONE_TRIED, only, session, regions }: PlacementScope = {}): Candidates {
     const now = this.#clock.nowMs()
     const isReachable = (dataCentre: string): boolean => (only === undefined || dataCentre === only) && !this.#reachability.isEjected(dataCentre, now)
-    return new Candidates(this.#group(service), { tried, isReachable }, now)
+    return new Candidates(this.#group(service), { tried, isReachable, ...this.#openTo(session, regions) }, now)
+  }
+
+  /** Leaves out evacuated data centres and those outside of the regions; the condition is absent when neither restricts the request. */
+  #openTo (session: number | undefined, regions?: AllowedRegions): Pick<CandidateFilter, 'isAllowed'> {
+    const evacuations = this.#evacuations?.isEmpty === false ? this.#evacuations : undefined
+    if (evacuations === undefined && regions === undefined) return {}
+    const isClosed = (dataCentre: string, isHolder: boolean): boolean =>
+      (isHolder && session !== undefined ? evacuations?.isClosedTo(dataCentre, session) : evacuations?.isClosed(dataCentre)) === true
+    return { isAllowed: (dataCentre, isHolder) => this.#regionFilter.allows(dataCentre, regions) && !isClosed(dataCentre, isHolder) }
   }
 
   /** Records the outcome of a request; the endpoint may be ejected, or its data centre marked as unreachable. */
@@ -234,12 +340,19 @@
     }
   }
 
-  #getOrCreate (e: Endpoint): PooledEndpoint {
+  /** True for an incarnation whose entry was missing for a while and that says how long it still warms up. */
+  #isBack (e: Endpoint): boolean {
+    return e.warmUpMs !== undefined && this.table.hasLeft(e, this.#clock.nowMs())
+  }
+
+  /** @param hasStarted true when the endpoint joined after the first list. */
+  #getOrCreate (e: Endpoint, hasStarted = false): PooledEndpoint {
     let state = this.#states.get(e.id)
     if (state === undefined) {
-      state = new PooledEndpoint(e)
+      state = new PooledEndpoint(e, this.idle)
       this.#states.set(e.id, state)
       this.#byHash.set(state.hash, state)
+      this.#cold.add(state, hasStarted, this.#clock.nowMs())
     }
     return state
   }
@@ -252,6 +365,7 @@
     this.#states.delete(e.id)
     this.#reports.remove(state)
     this.#limits.remove(state)
+    this.#cold.remove(state)
     if (this.#byHash.get(state.hash) === state) this.#byHash.delete(state.hash)
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,9 +1,13 @@
 /** Composition root of a gateway: builds its tasks, starts them, and drains requests in flight before it stops. */
 import { setTimeout as sleep } from 'node:timers/promises'
+import { getHeapStatistics } from 'node:v8'
 import { Disposable } from '../common/Disposable.js'
+import { connectionLimits } from '../common/limits/ConnectionLimits.js'
 import { SharedRetryBudget, type IFleetView, type RetryLimits } from '../common/limits/SharedRetryBudget.js'
+import type { GatewayStatus } from '../common/GatewayStatus.js'
 import { hashString } from '../common/Hash.js'
 import { instanceJitter, readWaitMs } from '../common/peers/ReaderElection.js'
+import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import type { ViewVersion } from '../common/peers/ViewVersion.js'
 import { acceptMs } from '../common/routing/DrainWindow.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
@@ -14,7 +18,9 @@
 import { ConfigHolder } from './ConfigHolder.js'
 import { EndpointLimiter, shareOf } from './EndpointLimiter.js'
 import { EndpointPool } from './EndpointPool.js'
+import { EvacuationHolder } from './EvacuationHolder.js'
 import { GatewayMetrics } from './GatewayMetrics.js'
+import { createGatewayStatus } from './GatewayStatus.js'
 import { GossipTask, type IGossipHost } from './GossipTask.js'
 import { MembershipTask } from './MembershipTask.js'
 import { CONFIG_TOPIC, LIST_TOPIC } from './Peers.js'
@@ -61,6 +67,12 @@
   readonly retryWindowMs: number
   /** Memory that the process may take. */
   readonly memoryBytes: number
+  /** Longest time until an evacuated data centre gets no more requests; undefined where none is ever evacuated. */
+  readonly evacuationMs?: number | undefined
+  /** Region of each data centre. */
+  readonly regions?: ReadonlyMap<string, string>
+  /** Descriptors that the process may have open. */
+  readonly maxDescriptors: number
 }
 
 export class Gateway extends Disposable {
@@ -69,6 +81,8 @@
   readonly #log: Log
   readonly #metrics: GatewayMetrics
   readonly #config: ConfigHolder
+  /** Undefined where data centres are never evacuated. */
+  readonly #evacuations: EvacuationHolder | undefined
   readonly #pool: EndpointPool
   readonly #callerServer: CallerServer
   readonly #statusServers: StatusServer[]
@@ -86,24 +100,34 @@
     this.#log = log
     this.#metrics = metrics
     this.#config = this.own(new ConfigHolder(clock))
-    this.#pool = this.own(new EndpointPool(clock, log))
+    const { evacuationMs, regions: regionOf } = settings
+    this.#evacuations = evacuationMs === undefined ? undefined : this.own(new EvacuationHolder(evacuationMs, clock, log))
+    metrics.evacuations = () => this.#evacuations?.ages ?? []
+    const limits = connectionLimits({ ...settings, heapBytes: getHeapStatistics().heap_size_limit })
+    this.#pool = this.own(new EndpointPool(clock, log, { evacuations: this.#evacuations, regionOf, maxIdleConnections: limits.maxIdleEndpointConnections }))
     this.own(this.#config.onChange(table => {
       const { revision, routes, services, accounts } = table.config
       log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
       metrics.configRevision.set(revision)
+      this.#pool.updateServices(services)
+      this.#countCold()
     }))
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
     this.#peers = this.own(new MembershipTask(self, settings.seeds, clock, random, metrics, log, () => this.#config.revision))
     this.#gossip = this.own(new GossipTask(this.#peers, clock, random, log, this.#gossipHost()))
     this.#snapshots = this.own(new SnapshotExchange(this.#snapshotSource(), clock, log))
     const sessionAffinity = this.own(new SessionAffinityTask(this.#peers, clock, this.#pool))
-    this.#promptGuard = this.own(new PromptGuard(this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting))
+    this.#promptGuard = this.own(new PromptGuard(
+      this.#peers, clock, random, log, part => permits.take('part', part), probeByConnecting, part => permits.release('part', part)
+    ))
     this.own(this.#pool.table.onChange(({ endpoint, kind }) => { if (kind === 'gone') this.#promptGuard.recordGone(endpoint) }))
-    const limiter: EndpointLimiter = new EndpointLimiter(clock, endpoint => permits.take('endpoint', endpoint), () => shareOf(this.#peers.fleet, this.#peers.usable().items.length))
+    const limiter: EndpointLimiter = new EndpointLimiter(clock, (endpoint, scope) => permits.take(scope, endpoint),
+      () => shareOf(this.#peers.fleet, this.#peers.usable().items.length), hashString(settings.id))
     const permits: PermitTask = this.own(new PermitTask(this.#peers, clock, {
       part: (part, now) => this.#promptGuard.issueTrial(part, now),
-      endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now)
-    }))
+      endpoint: (endpoint, now) => limiter.issue(this.#pool.get(endpoint), now),
+      cold: (endpoint, now) => limiter.issueCold(this.#pool.get(endpoint), now)
+    }, { part: part => this.#promptGuard.endLease(part) }))
     const services = {
       clock,
       codec,
@@ -119,15 +143,17 @@
       log: new RequestLog(log, clock),
       retryBudget: (service: string) => this.#retryBudget(service)
     }
-    this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION))
+    this.#callerServer = this.own(new CallerServer(services, settings.memoryBytes * BODY_MEMORY_FRACTION, limits))
     const source = { readinessPath: settings.readinessPath, metricsPath: settings.metricsPath, metrics, ready: () => this.ready }
     this.own(this.#config.onChange(() => this.#gossip.gossipChange()))
-    this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer(source))]
+    if (this.#evacuations !== undefined) this.own(this.#evacuations.onChange(() => this.#gossip.gossipChange()))
+    this.#statusServers = [this.own(new StatusServer(source)), this.own(new StatusServer({ ...source, status: () => this.status }))]
   }
 
   /** True when the load balancer should send callers to this gateway. */
   get ready (): boolean {
-    return !this.#stopping && this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#promptGuard.isReady
+    const knowsPlatform = this.#config.table !== undefined && this.#pool.listAgeMs !== Infinity && this.#evacuations?.isKnown !== false
+    return !this.#stopping && knowsPlatform && this.#promptGuard.isReady
   }
 
   /** Revision of the configuration in force; 0 before the first. */
@@ -135,14 +161,36 @@
     return this.#config.revision
   }
 
+  /** State for operators. */
+  get status (): GatewayStatus {
+    const { id, dataCentre } = this.#settings
+    const parts = { id, dataCentre, ready: this.ready, config: this.#config, pool: this.#pool, evacuations: this.#evacuations, peers: this.#peers }
+    return createGatewayStatus(parts, this.#clock.nowMs())
+  }
+
   /** Applies a configuration that was read from the platform, unless a newer one is in force. */
   updateConfig (config: RoutingConfig): void {
     this.#config.update(config)
   }
 
   /** Records that the platform has no newer configuration than the one that was read last. */
-  confirmConfig (): void {
-    this.#config.confirm()
+  confirmConfig (ageMs = 0): void {
+    this.#confirmConfig(ageMs)
+  }
+
+  /** True where data centres may be evacuated. */
+  get followsEvacuations (): boolean {
+    return this.#evacuations !== undefined
+  }
+
+  /** Applies the evacuations that were read from the platform. @param ageMs time since the read began. */
+  updateEvacuations (dataCentres: readonly string[], version: ListVersion, ageMs: number): void {
+    this.#evacuations?.update(dataCentres, version, ageMs)
+  }
+
+  /** Applies evacuations that were read from the platform, where others may have been missed. */
+  addEvacuations (dataCentres: readonly string[], version: ListVersion): void {
+    this.#evacuations?.add(dataCentres, version)
   }
 
   /** Applies a list of endpoints that was read from the platform; returns false when it is older than the last one. @param ageMs time since the read began. */
@@ -189,7 +237,7 @@
     this.#log.info({ step: 'start', callers: `${callers.address}:${callers.port}` }, 'listening')
   }
 
-  /** Applies settings that changed at run time; addresses keep their values from the start. */
+  /** Applies settings that changed at run time; addresses and the bound of evacuations keep their values from the start. */
   reload (settings: GatewaySettings): void {
     const { graceMs, retryRatio, retryBurst, retryWindowMs } = settings
     this.#settings = { ...this.#settings, graceMs, retryRatio, retryBurst, retryWindowMs }
@@ -216,13 +264,24 @@
     this.dispose()
   }
 
+  /** Records that the platform had nothing newer `ageMs` ago: its configuration and its evacuations are read together. */
+  #confirmConfig (ageMs: number): void {
+    this.#config.confirm(ageMs)
+    this.#evacuations?.confirm(ageMs)
+  }
+
   #applyEndpoints (list: EndpointList, ageMs: number): boolean {
     const before = this.#pool.table.digest
     const applied = this.#pool.update(list, ageMs)
+    this.#countCold()
     if (this.#pool.table.digest !== before) this.#gossip.gossipChange()
     return applied
   }
 
+  #countCold (): void {
+    this.#metrics.coldEndpoints.set(this.#pool.coldEndpoints)
+  }
+
   #viewVersion (): ViewVersion {
     const { version: listVersion, digest: listDigest } = this.#pool.table
     return { configRevision: this.#config.revision, configAgeMs: this.#config.ageMs, listVersion, listDigest, listAgeMs: this.#pool.listAgeMs }
@@ -235,8 +294,13 @@
       mergeLoadReports: (peer, reports) => this.#pool.mergeLoadReports(peer, reports),
       limitReports: () => this.#pool.limitReports(),
       mergeLimitReports: reports => this.#pool.mergeLimitReports(reports),
-      confirmConfig: ageMs => this.#config.confirm(ageMs),
-      confirmList: (version, ageMs) => this.#pool.confirm(version, ageMs),
+      evacuationReport: () => this.#evacuations?.report,
+      mergeEvacuations: (peer, report) => this.#evacuations?.merge(peer, report) !== false,
+      confirmConfig: ageMs => this.#confirmConfig(ageMs),
+      confirmList: (version, ageMs) => {
+        this.#pool.confirm(version, ageMs)
+        this.#countCold()
+      },
       fetch: (kind, from, ageMs) => {
         this.#snapshots.fetch(kind, from, ageMs).catch((e: unknown) => this.#log.error({ step: 'peers', part: kind, err: String(e) }, 'snapshot fetch failed'))
       }
--- a/src/gateway/PromptGuard.test.ts
+++ b/src/gateway/PromptGuard.test.ts
@@ -2,7 +2,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import type { Endpoint, Prompt } from '../common/routing/Types.js'
 import { SeededRandom } from '../common/SeededRandom.js'
-import { PermitTask } from './PermitTask.js'
+import type { ProbeResult } from '../router/engines/ConnectProbe.js'
+import { PermitTask, type Permit } from './PermitTask.js'
 import { PromptGuard } from './PromptGuard.js'
 import { FakePeerNetwork } from './TestUtils.test.js'
 
@@ -18,6 +19,8 @@
 const FATAL = prompt('template', 'fatal')
 const clock = { nowMs: () => performance.now(), wallMs: () => performance.now() }
 
+const ALWAYS: Permit = { granted: true, waitMs: 0 }
+
 /** Guards of gateways that exchange datagrams in memory. */
 class GuardedFleet {
   readonly network = new FakePeerNetwork()
@@ -34,8 +37,10 @@
     this.guards.get(id)?.dispose()
     const peers = this.network.join(id)
     const log = pino({ level: 'silent' })
-    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), async e => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused'))
-    const permits = new PermitTask(peers, clock, { part: (part, now) => guard.issueTrial(part, now), endpoint: () => ({ granted: true, waitMs: 0 }) })
+    const probe = async (e: { readonly id: string }): Promise<ProbeResult> => await Promise.resolve(this.alive.has(e.id) ? 'accepted' : 'refused')
+    const guard: PromptGuard = new PromptGuard(peers, clock, this.random, log, part => permits.take('part', part), probe, part => permits.release('part', part))
+    const issuers = { part: (part: number, now: number) => guard.issueTrial(part, now), endpoint: () => ALWAYS, cold: () => ALWAYS }
+    const permits = new PermitTask(peers, clock, issuers, { part: part => guard.endLease(part) })
     this.guards.set(id, guard)
     guard.start()
     return guard
@@ -83,6 +88,20 @@
     expect([suspects, await fleet.countSenders(FATAL), await fleet.countSenders(prompt('template', 'other'))]).toEqual([1, 0, 1])
   })
 
+  // A trial that reached no engine, or was taken back, kept its lease for 4 s: all prompts with the part were refused meanwhile.
+  it('sends the next suspect prompt once a trial has ended without a broken answer, not before the evidence of a broken one', async () => {
+    await fleet.crashEngines(['e1', 'e2'])
+    const trials = [prompt('template', 'fatal'), prompt('template', 'fatal')]
+    const granted: boolean[] = []
+    for (const [i, wasBrokenOff] of [false, true].entries()) {
+      const [refusal] = await Promise.all([fleet.guard(i).check(trials[i]!, 'r'), vi.advanceTimersByTimeAsync(SPREAD_MS)])
+      granted.push(refusal === undefined)
+      fleet.guard(i).endTrial(trials[i]!, wasBrokenOff)
+      await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    }
+    expect([granted, await fleet.countSenders(FATAL)]).toEqual([[true, true], 0])
+  })
+
   it('sends prompts that share a part with the fatal one once an answer to one of them was whole', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
     fleet.guard(9).recordSound(prompt('template', 'other'))
@@ -104,6 +123,63 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // A parent that held the listening socket accepted connections for the engine that had ended, and the list was seconds late.
+  it('counts an endpoint as ended that closed all connections, of one gateway or of two at the same time, though it accepts others', async () => {
+    const closed = { connectionsAt: () => ({ ended: 2, left: 0 }) }
+    const single = { connectionsAt: () => ({ ended: 1, left: 0 }) }
+    for (const id of ['e1', 'e2', 'e3']) fleet.alive.add(id)
+    fleet.guard(0).recordClose(endpoint('e1'), FATAL, closed)
+    await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    for (const id of ['e2', 'e3']) {
+      fleet.guard(1).recordClose(endpoint(id), FATAL, single)
+      await vi.advanceTimersByTimeAsync(5)
+      fleet.guard(2).recordClose(endpoint(id), prompt('template', 'other'), single)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(await fleet.countSenders(FATAL)).toBe(0)
+  })
+
+  it('holds nothing against a prompt when endpoints reset connections of two gateways at the same time, and others stay open', async () => {
+    const partly = { connectionsAt: () => ({ ended: 1, left: 1 }) }
+    for (const id of ['e1', 'e2', 'e3', 'e4']) {
+      fleet.alive.add(id)
+      for (const i of [1, 2]) fleet.guard(i).recordClose(endpoint(id), FATAL, partly)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(await fleet.countSenders(FATAL)).toBe(GATEWAYS)
+  })
+
+  it('counts endpoints as ended whose end the list tells seconds later, or before the close of the connection', async () => {
+    for (const id of ['e1', 'e2', 'e3']) fleet.alive.add(id)
+    fleet.guard(3).recordGone(endpoint('e3'))
+    await fleet.crashEngines(['e1', 'e2', 'e3'], 1)
+    await vi.advanceTimersByTimeAsync(7_000)
+    for (const guard of fleet.guards.values()) ['e1', 'e2'].forEach(id => guard.recordGone(endpoint(id)))
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    expect(await fleet.countSenders(FATAL)).toBe(0)
+  })
+
+  // An answer without length or chunks that the end of its engine cut off counted as whole, which cleared the fatal part.
+  it('counts answers without a marked end when their endpoint has ended, not when it lives on or leaves', async () => {
+    const ids = ['e1', 'e2', 'e3']
+    const alone = { connectionsAt: () => ({ ended: 0, left: 0 }) }
+    const record = async (asked: Prompt): Promise<void> => {
+      for (const id of ids) {
+        fleet.guard(1).recordUnmarkedEnd(endpoint(id), asked, alone)
+        await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+      }
+    }
+    await record(prompt('template', 'other'))
+    fleet.network.sent.clear()
+    for (const id of ids) fleet.guard(1).recordGone({ ...endpoint(id), leaving: true })
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const afterLeaving = [fleet.network.sent.size, await fleet.countSenders(FATAL)]
+    await record(FATAL)
+    for (const id of ids) fleet.guard(1).recordGone(endpoint(id))
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    expect([...afterLeaving, await fleet.countSenders(FATAL)]).toEqual([0, GATEWAYS, 0])
+  })
+
   // Eight gateways of the record had restarted between the crashes, and sent the part on again.
   it('is ready after a start only with the evidence of its peers, also when others start at the same time', async () => {
     await fleet.crashEngines(['e1', 'e2', 'e3'])
@@ -113,6 +189,31 @@
     expect(await fleet.countSenders(FATAL)).toBe(0)
   })
 
+  // A gateway that started while its peers were slow to answer was ready after 500 ms, and sent the part on.
+  it('waits for peers that are slow to answer, and is ready without them when they stay silent', async () => {
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    fleet.network.loses = () => true
+    const slow = fleet.start('g0')
+    await vi.advanceTimersByTimeAsync(1_500)
+    const early = slow.isReady
+    fleet.network.loses = () => false
+    await vi.advanceTimersByTimeAsync(SPREAD_MS)
+    const later = [slow.isReady, await fleet.countSenders(FATAL)]
+    fleet.network.loses = () => true
+    const cutOff = fleet.start('g1')
+    await vi.advanceTimersByTimeAsync(4_000)
+    expect([early, ...later, cutOff.isReady]).toEqual([false, true, 0, true])
+  })
+
+  it('is ready soon when it has no peers, or its only peer has just started as well', async () => {
+    const [alone, pair] = [new GuardedFleet(1), new GuardedFleet(2)]
+    await vi.advanceTimersByTimeAsync(600)
+    const ready = [...alone.guards.values(), ...pair.guards.values()].map(guard => guard.isReady)
+    alone.dispose()
+    pair.dispose()
+    expect(ready).toEqual([true, true, true])
+  })
+
   it('joins the evidence of both sides of a cut when it heals', async () => {
     for (let i = 10; i < GATEWAYS; i++) fleet.network.cutOff.add(`g${i}`)
     await fleet.crashEngines(['e1', 'e2'])
@@ -137,6 +238,19 @@
     expect(told).toEqual(Array.from({ length: GATEWAYS }, () => true))
   })
 
+  // A prompt that was under way as a trial was taken back each time that another part was blocked.
+  it('tells them of the parts that were not blocked before', async () => {
+    const other = prompt('another', 'bad')
+    await fleet.crashEngines(['e1', 'e2', 'e3'])
+    const told: boolean[] = []
+    for (const guard of fleet.guards.values()) guard.onBlocked(parts => told.push(guard.hasPartOf(FATAL, parts)))
+    for (const id of ['e4', 'e5', 'e6']) {
+      fleet.guard(2).recordClose(endpoint(id), other)
+      await vi.advanceTimersByTimeAsync(CRASH_INTERVAL_MS)
+    }
+    expect(told).toEqual(Array.from({ length: GATEWAYS }, () => false))
+  })
+
   // What one gateway had dropped for room came back as news from another one, and went round the fleet again without end.
   it('comes to rest when there is more evidence than gateways keep', async () => {
     for (let i = 0; i < 40; i++) {
--- a/src/gateway/RequestForwarder.ts
+++ b/src/gateway/RequestForwarder.ts
@@ -2,8 +2,10 @@
 import { outcomeOf, routeError, type ErrorCode, type RouteError } from '../common/Errors.js'
 import { hashString } from '../common/Hash.js'
 import { isWholeAt } from '../common/http/UnmarkedEnd.js'
+import type { IByteReservation } from '../common/limits/ByteBudget.js'
 import type { EndpointOutcome } from '../common/routing/EndpointHealth.js'
 import { sharedParts, type EndpointChoice } from '../common/routing/PromptPlacement.js'
+import { allowedRegions, type AllowedRegions } from '../common/routing/RegionFilter.js'
 import { streamIdleMs } from '../common/routing/StreamIdle.js'
 import type { Account, Route } from '../common/routing/Types.js'
 import type { ConnectProbe } from '../router/engines/ConnectProbe.js'
@@ -28,6 +30,7 @@
 const REUSE_DISABLED_MS = 5_000 // after a response that doesn't belong to its request, each request gets a new connection for this long
 const DEADLINE_MARGIN_MS = 60 // lets the endpoint's own deadline error arrive before this instance sends one
 const RETRY_AFTER_MS = 250
+const EVACUATED_RETRY_AFTER_MS = 1_000 // an evacuation doesn't end within moments; another instance may reach other data centres
 const RETURN_SPREAD_MS = 1_000
 const MIN_REDIRECT_STATUS = 300
 const MIN_FAILURE_STATUS = 500
@@ -53,6 +56,8 @@
   readonly body: Uint8Array
   /** Time at which the request's head was received. */
   readonly startedAt: number
+  /** For the bytes of its responses that are kept until they are complete. */
+  readonly reservation: IByteReservation
 }
 
 export class RequestForwarder {
@@ -61,6 +66,7 @@
   readonly #response: CallerResponse
   readonly #deadlineAt: number
   readonly #eventStream: EventStream | undefined
+  readonly #regions: AllowedRegions
   readonly #selector: EndpointSelector
   readonly #retries: RetryPolicy
   readonly #attemptLines: AttemptLine[] = []
@@ -76,8 +82,9 @@
     this.#services = services
     this.#context = context
     this.#response = response
-    const { route, request, startedAt } = context
-    this.#selector = new EndpointSelector(services, context.service, request)
+    const { route, account, request, startedAt } = context
+    this.#regions = allowedRegions(route, account)
+    this.#selector = new EndpointSelector(services, context.service, request, this.#regions)
     this.#retries = new RetryPolicy(services, context.service, route.maxAttempts)
     this.#deadlineAt = startedAt + Math.min(request.timeoutMs ?? Infinity, route.timeoutMs)
     this.#retryable = route.idempotent || (route.streaming && route.resumable)
@@ -97,6 +104,7 @@
     } finally {
       clearTimeout(timer)
       blockedListener.dispose()
+      this.#endTrial(false)
     }
   }
 
@@ -124,7 +132,9 @@
   #noChoiceError (): RouteError {
     const waitMs = this.#selector.openWaitMs()
     if (waitMs !== undefined) return this.#createError('limit_reached', 'all endpoints are at their limits or want a pause', this.#spread(waitMs))
-    return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', 'no endpoint is left to try')
+    if (this.#selector.hasEvacuated) return this.#createError('evacuated', 'the data centres of the endpoints that are left are evacuated', this.#spread(EVACUATED_RETRY_AFTER_MS))
+    const where = this.#regions === undefined ? '' : ` in the regions ${this.#regions.join(', ')}`
+    return this.#createError(this.#attemptLines.length === 0 ? 'no_endpoint' : 'endpoint_refused', `no endpoint is left to try${where}`)
   }
 
   /** Spreads the return of callers that are refused together. */
@@ -148,7 +158,7 @@
     if (!this.#retryable) state.agent.closeIdle(MAX_REUSE_IDLE_MS)
     state.inFlight++
     let liveness = state.liveness.watchAgain()
-    const attempt = new Attempt(state.agent, this.#buildExchangeRequest(state), this.#response, {
+    const attempt = new Attempt(state.agent, this.#buildExchangeRequest(choice), this.#response, {
       streaming: route.streaming,
       eventStream: this.#eventStream,
       idleTimeoutMs: this.#idleTimeoutMs(),
@@ -157,6 +167,7 @@
       onLate: () => this.#services.pool.recordOutcome(state, 'late', this.#context.request.id),
       onUnmarked: () => { liveness ??= state.liveness.watch() },
       confirmEnd: async () => await this.#confirmEnd(state, liveness!),
+      reservation: this.#context.reservation,
       decodeHead: (status, headers, isReused) => this.#decodeHead(state, status, headers, isReused)
     })
     this.#currentAttempt = attempt
@@ -165,7 +176,7 @@
     state.inFlight--
     const now = clock.nowMs()
     this.#currentAttempt = undefined
-    this.#recordPromptOutcome(state, result, attempt.isYoungAnswer)
+    this.#recordPromptOutcome(state, result, attempt)
     this.#recordAttempt(choice, result, now - startedAt, attempt.answerLine)
     return result
   }
@@ -180,11 +191,20 @@
   }
 
   /** Records what the attempt's end tells of the prompt. */
-  #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, isYoung: boolean): void {
+  #recordPromptOutcome (state: PooledEndpoint, result: AttemptResult, { isYoung, isEndUnmarked }: Attempt): void {
     const { prompt } = this.#context.request
     if (prompt === undefined) return
-    if (result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)) this.#recordSound()
-    else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt)
+    this.#endTrial(wasClosedEarly(result))
+    const succeeded = result.kind === 'streamed' || (result.kind === 'answered' && result.head.status < MIN_REDIRECT_STATUS)
+    if (succeeded && isYoung && isEndUnmarked) this.#services.promptGuard.recordUnmarkedEnd(state.endpoint, prompt, state.agent)
+    else if (succeeded) this.#recordSound()
+    else if (isYoung && wasClosedEarly(result)) this.#services.promptGuard.recordClose(state.endpoint, prompt, state.agent)
+  }
+
+  /** Lets another request be the next trial. */
+  #endTrial (wasBrokenOff: boolean): void {
+    const { prompt } = this.#context.request
+    if (prompt !== undefined) this.#services.promptGuard.endTrial(prompt, wasBrokenOff)
   }
 
   #recordSound (): void {
@@ -193,7 +213,8 @@
   }
 
   /** Builds the request that is sent to an endpoint. */
-  #buildExchangeRequest (state: PooledEndpoint): ExchangeRequest {
+  #buildExchangeRequest (choice: EndpointChoice): ExchangeRequest {
+    const state = choice.state as PooledEndpoint
     const { request, route, account, body } = this.#context
     const { id, address, port } = state.endpoint
     const headers = this.#services.codec.encodeRequest({
@@ -206,7 +227,8 @@
       promptSource: this.#selector.promptSource(state)
     })
     const allHeaders = body.length > 0 || request.method !== 'GET' ? [...headers, 'Content-Length', String(body.length)] : headers
-    return { address, port, method: request.method, target: request.target, headers: allHeaders, body, connectTimeoutMs: CONNECT_TIMEOUT_MS }
+    const mayWrite = (): boolean => this.#selector.isOpen(choice)
+    return { address, port, method: request.method, target: request.target, headers: allHeaders, body, connectTimeoutMs: CONNECT_TIMEOUT_MS, mayWrite }
   }
 
   /** Decodes a response head and records the load in it at once: the load is current now, however long the body takes. */
@@ -248,6 +270,7 @@
         recordOutcome(result.head.status >= MIN_FAILURE_STATUS ? 'failed' : 'answered')
         return this.#handleResponse(state, result)
       case 'not-run':
+        if (result.by === 'withdrawn') return 'again'
         if (result.by === 'other-endpoint') recordOutcome('misdirected')
         if (result.by !== 'connect') return this.#tryRetry() ? 'again' : this.#createError('endpoint_refused', result.detail)
         recordOutcome('unreachable')
--- a/src/platform/Settings.ts
+++ b/src/platform/Settings.ts
@@ -28,6 +28,7 @@
 const DEFAULT_RETRY_WINDOW_SEC = 10
 const DEFAULT_RETRY_BURST = 20
 const DEFAULT_MEMORY_MB = 256
+const DEFAULT_MAX_DESCRIPTORS = 4_096
 const BYTES_PER_MB = 1_048_576
 
 /** Fields that are read; the platform may add others. */
@@ -41,7 +42,9 @@
   readonly seeds?: readonly string[]
   readonly listen: { readonly frontend: string, readonly readiness: string }
   readonly platform: { readonly address: string }
-  readonly limits?: { readonly memory_mb?: number }
+  readonly limits?: { readonly memory_mb?: number, readonly max_fds?: number }
+  /** Region of each data centre. */
+  readonly zones?: Readonly<Record<string, unknown>>
   readonly bounds?: Readonly<Record<string, number | boolean | undefined>>
 }
 
@@ -55,6 +58,18 @@
   return typeof value === 'number' && value >= 0 ? value : defaultValue
 }
 
+/** Value of a bound that is absent where the deployment doesn't have what it bounds. */
+function optionalBound (file: SettingsFile, name: string): number | undefined {
+  const value = file.bounds?.[name]
+  return typeof value === 'number' && value > 0 ? value : undefined
+}
+
+/** Regions by data centre; entries that aren't texts are left out. */
+function parseRegions (zones: unknown): ReadonlyMap<string, string> {
+  const entries = typeof zones === 'object' && zones !== null ? Object.entries(zones) : []
+  return new Map(entries.filter((entry): entry is [string, string] => typeof entry[1] === 'string'))
+}
+
 function missingField (file: Partial<SettingsFile>): string | undefined {
   const texts: Record<string, unknown> = {
     node_name: file.node_name, ip: file.ip, zone: file.zone, 'listen.frontend': file.listen?.frontend, 'listen.readiness': file.listen?.readiness, 'platform.address': file.platform?.address
@@ -87,7 +102,10 @@
     retryRatio: boundOrDefault(file, 'retry_budget_ratio', DEFAULT_RETRY_RATIO),
     retryBurst: boundOrDefault(file, 'retry_burst', DEFAULT_RETRY_BURST),
     retryWindowMs: boundOrDefault(file, 'budget_window_s', DEFAULT_RETRY_WINDOW_SEC) * 1_000,
-    memoryBytes: (file.limits?.memory_mb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB
+    evacuationMs: optionalBound(file, 'evacuation_ms'),
+    regions: parseRegions(file.zones),
+    memoryBytes: (file.limits?.memory_mb ?? DEFAULT_MEMORY_MB) * BYTES_PER_MB,
+    maxDescriptors: file.limits?.max_fds ?? DEFAULT_MAX_DESCRIPTORS
   }
   return ok({ gateway, store: parseAddress(file.platform.address), drainMs: boundOrDefault(file, 'drain_ms', DEFAULT_DRAIN_MS) })
 }
--- a/src/router/fleet/DatagramCodec.ts
+++ b/src/router/fleet/DatagramCodec.ts
@@ -2,14 +2,20 @@
 import { timingSafeEqual } from 'node:crypto'
 import { decode, encode } from '@msgpack/msgpack'
 import { err, type Result } from 'neverthrow'
-import type { AllowanceDatagram, CrashDatagram, GossipDatagram, GossipedLimit, HolderDatagram, InstanceDigest, MemberRumour, OwnershipDatagram, PeerDatagram, ProbeDatagram } from '../../common/generated/PeerDatagram.js'
+import type {
+  AllowanceDatagram, CrashDatagram, EvacuationReport, GossipDatagram, GossipedEvacuation, GossipedLimit, HolderDatagram, InstanceDigest, MemberRumour,
+  OwnershipDatagram, PartCrash, PeerDatagram, ProbeDatagram
+} from '../../common/generated/PeerDatagram.js'
 import { checkPeerDatagram, formatErrors } from '../../common/Schema.js'
 import { hmac } from './Crypto.js'
 
 const KINDS = ['ping', 'ack', 'pingReq', 'ownPing', 'ownAck', 'take', 'grant', 'news', 'askHolder', 'tellHolder', 'findHolder', 'copyHolder', 'askCrashes', 'tellCrashes'] as const
 const STATES = ['alive', 'suspect', 'dead', 'leaving'] as const
 const MAC_BYTES = 12
+const UNCONFIRMED = 2
+const UNCONFIRMED_REFUTED = 3
 const COUNT_SCALE = 10 // decayed counts are encoded in tenths
+const NO_TIME_LEFT = -1 // for an evacuation that the platform still has, which no time ends
 
 type Row = readonly unknown[]
 
@@ -43,38 +49,66 @@
       return holderRow(kind, datagram)
     case 'askCrashes':
     case 'tellCrashes':
-      return [kind, datagram.id, datagram.complete, datagram.crashes.flatMap(c => [c.part, c.endpoint, Math.round(c.ageMs), c.refuted])]
+      return [kind, datagram.id, datagram.complete, datagram.crashes.flatMap(c => [c.part, c.endpoint, Math.round(c.ageMs), crashFlags(c)])]
   }
 }
 
+/** A boolean for a confirmed crash, which instances of the version before read as well; else a number, which they drop. */
+function crashFlags ({ refuted, unconfirmed }: PartCrash): number | boolean {
+  if (unconfirmed !== true) return refuted
+  return refuted ? UNCONFIRMED_REFUTED : UNCONFIRMED
+}
+
+function crashFlagsOf (flags: unknown): Pick<PartCrash, 'refuted' | 'unconfirmed'> {
+  const isUnconfirmed = flags === UNCONFIRMED || flags === UNCONFIRMED_REFUTED
+  return isUnconfirmed ? { refuted: flags === UNCONFIRMED_REFUTED, unconfirmed: true } : { refuted: flags as boolean }
+}
+
 function crashesOf (kind: CrashDatagram['kind'], row: Row): CrashDatagram {
   const [, id, complete, flat] = row
   const values = flat as ReadonlyArray<number | boolean>
   const crashes = []
   for (let i = 0; i + 3 < values.length; i += 4) {
-    const [part, endpoint, ageMs, refuted] = values.slice(i, i + 4)
-    crashes.push({ part, endpoint, ageMs, refuted })
+    const [part, endpoint, ageMs, flags] = values.slice(i, i + 4)
+    crashes.push({ part, endpoint, ageMs, ...crashFlagsOf(flags) })
   }
   return { kind, id, complete, crashes } as CrashDatagram
 }
 
 function holderRow (kind: number, d: HolderDatagram): Row {
-  return [kind, d.seq, d.id, d.service, d.session, d.template, d.sessionTokens, d.templateTokens, d.endpoint, d.source]
+  const row = [kind, d.seq, d.id, d.service, d.session, d.template, d.sessionTokens, d.templateTokens, d.endpoint, d.source]
+  return d.regions === undefined ? row : [...row, d.regions]
 }
 
 function holderOf (row: Row): HolderDatagram {
-  const [kind, seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source] = row
-  return { kind: KINDS[kind as number], seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source } as HolderDatagram
+  const [kind, seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source, regions] = row
+  const restriction = regions === undefined ? {} : { regions }
+  return { kind: KINDS[kind as number], seq, id, service, session, template, sessionTokens, templateTokens, endpoint, source, ...restriction } as HolderDatagram
 }
 
 function gossipRow (kind: number, d: GossipDatagram): Row {
   const loads = d.loads.flatMap(l => [l.endpoint, l.requests, l.ageMs, Math.round(l.failed * COUNT_SCALE), Math.round(l.ended * COUNT_SCALE)])
   const limits = d.limits.flatMap(l => [l.endpoint, l.startedAtMs, l.requestsPerSec, l.ageMs])
-  return [kind, d.id, d.configRevision, d.configAgeMs, d.listVersion.revision, d.listDigest, d.listAgeMs, loads, limits, d.listVersion.epoch]
+  const row = [kind, d.id, d.configRevision, d.configAgeMs, d.listVersion.revision, d.listDigest, d.listAgeMs, loads, limits, d.listVersion.epoch]
+  return d.evacuations === undefined ? row : [...row, evacuationsRow(d.evacuations)]
+}
+
+function evacuationsRow ({ known, version, dataCentres }: EvacuationReport): Row {
+  return [known, version.epoch, version.revision, dataCentres.flatMap(d => [d.name, d.ageMs, d.maxAgeMs, d.leftMs ?? NO_TIME_LEFT])]
+}
+
+function evacuationsOf (row: Row): EvacuationReport {
+  const [known, epoch, revision, flat] = row as readonly [boolean, number, number, ReadonlyArray<string | number>]
+  const dataCentres = []
+  for (let i = 0; i + 3 < flat.length; i += 4) {
+    const [name, ageMs, maxAgeMs, leftMs] = flat.slice(i, i + 4)
+    dataCentres.push({ name, ageMs, maxAgeMs, ...leftMs === NO_TIME_LEFT ? {} : { leftMs } } as GossipedEvacuation)
+  }
+  return { known, version: { epoch, revision }, dataCentres }
 }
 
 function gossipOf (row: Row): GossipDatagram {
-  const [, id, configRevision, configAgeMs, revision, listDigest, listAgeMs, flat, flatLimits, epoch = 0] = row
+  const [, id, configRevision, configAgeMs, revision, listDigest, listAgeMs, flat, flatLimits, epoch = 0, evacuationsPart] = row
   const numbers = flat as readonly number[]
   const loads = []
   for (let i = 0; i + 4 < numbers.length; i += 5) {
@@ -82,7 +116,8 @@
     loads.push({ endpoint: endpoint!, requests: requests!, ageMs: ageMs!, failed: failed! / COUNT_SCALE, ended: ended! / COUNT_SCALE })
   }
   const limits = limitsOf(flatLimits as readonly number[])
-  return { kind: 'news', id, configRevision, configAgeMs, listVersion: { epoch, revision }, listDigest, listAgeMs, loads, limits } as GossipDatagram
+  const evacuations = evacuationsPart === undefined ? {} : { evacuations: evacuationsOf(evacuationsPart as Row) }
+  return { kind: 'news', id, configRevision, configAgeMs, listVersion: { epoch, revision }, listDigest, listAgeMs, loads, limits, ...evacuations } as GossipDatagram
 }
 
 function limitsOf (flat: readonly number[]): GossipedLimit[] {
--- a/src/router/fleet/Wire.test.ts
+++ b/src/router/fleet/Wire.test.ts
@@ -46,9 +46,16 @@
     kind: fc.constantFrom('askCrashes' as const, 'tellCrashes' as const),
     id: name,
     complete: fc.boolean(),
-    crashes: fc.array(fc.record({ part: count, endpoint: count, ageMs: count, refuted: fc.boolean() }), { maxLength: 64 })
+    crashes: fc.array(fc.record({ part: count, endpoint: count, ageMs: count, refuted: fc.boolean(), unconfirmed: fc.constant(true) }, {
+      requiredKeys: ['part', 'endpoint', 'ageMs', 'refuted']
+    }), { maxLength: 64 })
   })
 )
+const evacuations = fc.record({
+  known: fc.boolean(),
+  version: fc.record({ epoch: count, revision: count }),
+  dataCentres: fc.array(fc.record({ name, ageMs: count, maxAgeMs: count, leftMs: count }, { requiredKeys: ['name', 'ageMs', 'maxAgeMs'] }), { maxLength: 16 })
+})
 
 describe('DatagramCodec', () => {
   const codec = new DatagramCodec('a secret of the fleet')
@@ -59,6 +66,14 @@
     }), { seed: 1, numRuns: 300 })
   })
 
+  // The rows are positional: a field that the codec didn't know was left out, and no peer heard of an evacuation.
+  it('round-trips the evacuations of gossip', () => {
+    const news = { kind: 'news' as const, id: 'g', configRevision: 1, configAgeMs: 2, listVersion: { epoch: 3, revision: 4 }, listDigest: 5, listAgeMs: 6, loads: [], limits: [] }
+    fc.assert(fc.property(evacuations, e => {
+      expect(codec.decode(codec.encode({ ...news, evacuations: e }))._unsafeUnwrap()).toEqual({ ...news, evacuations: e })
+    }), { seed: 4, numRuns: 100 })
+  })
+
   it('rejects datagrams signed with another secret and random bytes, without throwing', () => {
     const other = new DatagramCodec('another secret here')
     fc.assert(fc.property(datagram, fc.uint8Array({ maxLength: 200 }), (d, noise) => {
@@ -67,6 +82,14 @@
     }), { seed: 2, numRuns: 300 })
   })
 
+  // Earlier versions read the fields by their position and know no regions.
+  it('carries the regions of a restricted session, and nothing more without a restriction', () => {
+    const query = { kind: 'askHolder', seq: 1, id: 'g1', service: 's', session: 2, template: 3, sessionTokens: 4, templateTokens: 5, endpoint: 6, source: 0 } as const
+    const bytes = [query, { ...query, regions: undefined }, { ...query, regions: [] }, { ...query, regions: ['north', 'south'] }].map(d => codec.encode(d as PeerDatagram))
+    expect(bytes.map(b => codec.decode(b)._unsafeUnwrap())).toEqual([query, query, { ...query, regions: [] }, { ...query, regions: ['north', 'south'] }])
+    expect(bytes[0]).toEqual(bytes[1])
+  })
+
   it('rejects signed datagrams that violate the schema', () => {
     const bad = { kind: 'ownPing', seq: -1, id: 'r1', listDigest: 1 } as PeerDatagram
     expect(codec.decode(codec.encode(bad)).isErr()).toBe(true)
--- a/src/standin/PlatformWorker.ts
+++ b/src/standin/PlatformWorker.ts
@@ -46,10 +46,14 @@
 export interface WorkerOptions {
   /** Id of a prompt part: the worker ends when it begins to answer a request with this part. */
   readonly fatalPart?: string
+  /** How much of the answer to a fatal request is sent: an event in part in chunks by default, no head, or a whole event without length or chunks. */
+  readonly fatalAnswer?: 'none' | 'unframed event'
   /** Called for each request with the fatal part that arrives. */
   readonly onFatalRequest?: () => void
   /** Called when the worker has ended by the fatal part. */
   readonly onCrash?: () => void
+  /** Ends the process of the worker in place of its server alone. */
+  readonly endProcess?: () => void
   /** Time from a request to its answer or first event, in ms; none by default. */
   readonly workMs?: number
   /** Time between events of a stream, in ms; none by default. */
@@ -106,6 +110,12 @@
     this.#port = (this.#server.address() as AddressInfo).port
   }
 
+  /** Serves a connection that another process has accepted. */
+  serve (socket: Socket): void {
+    this.#server.emit('connection', socket)
+    socket.resume()
+  }
+
   /** Refuses new connections; open ones go on. */
   stopListening (): void {
     this.#server.close()
@@ -193,9 +203,15 @@
 
   /** Sends all events, or those after the caller's `last-event-id`. */
   #startStream (req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): void {
+    const { fatalAnswer } = this.#options
+    if (fatalAnswer === 'none' && this.#isFatal(req)) {
+      this.#crash()
+      return
+    }
+    if (fatalAnswer === 'unframed event' && this.#isFatal(req)) res.useChunkedEncodingByDefault = false
     res.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     res.flushHeaders()
-    if (this.#isFatal(req)) res.write('id: 1\ndata: to', () => this.#crash())
+    if (this.#isFatal(req)) res.write(fatalAnswer === undefined ? 'id: 1\ndata: to' : 'id: 1\ndata: token1\n\n', () => this.#crash())
     else this.#writeEvent(req, res, Number(req.headers['last-event-id'] ?? 0) + 1, this.mode)
   }
 
@@ -206,6 +222,7 @@
   }
 
   #crash (): void {
+    this.#options.endProcess?.()
     if (!this.#server.listening) return
     this.close()
     this.#options.onCrash?.()
