Check in the soak that evacuated data centres get no requests

The soak had its workers in one data centre and no evacuations, so that a late request was found by the tests on loopback alone, without faults.

Workers are now spread over the three data centres, and one of these is evacuated at a time, in turn, for 2 s beyond a bound of 4 s. A request that arrives there after the bound breaks the new guarantee, unless its gateway or worker was disturbed. So the store has no fault for 3 s from an evacuation on, and later ones excuse nothing. What a restoration lost is written again within 1.5 s, as evacuations outlast it by 2.2 s.

--- a/scripts/soak-mutants.mjs
+++ b/scripts/soak-mutants.mjs
@@ -24,6 +24,7 @@
   ['never back', 'gateway/ConfigHolder.js', 'update(config) {', 'update(config) { this.first ??= config; this.updates = (this.updates ?? 0) + 1; if (this.updates % 5 === 0) { this.#table = new RouteTable(this.first); return; }'],
   ['budget', 'gateway/RetryPolicy.js', 'const granted = withinRoute && this.#budget.tryRetry(now)', 'const granted = withinRoute'],
   ['word', 'gateway/RequestForwarder.js', 'if (head.leaving)', 'if (false)'],
+  ['evacuation', 'gateway/EndpointPool.js', 'this.#evacuations?.isEmpty === false ? this.#evacuations : undefined', 'undefined'],
   ['pause', 'gateway/RequestForwarder.js', 'if (head.pauseMs !== undefined)', 'if (false)'],
   ['recovery', 'gateway/Gateway.js', 'await this.#snapshots.listen(metrics.address, peerPort)', 'await sleep(process.uptime() > 0 && Date.now() - Number(process.env.SOAK_STARTED) > 8000 ? 30000 : 0); await this.#snapshots.listen(metrics.address, peerPort)']
 ]
--- a/src/soak/Checks.test.ts
+++ b/src/soak/Checks.test.ts
@@ -17,7 +17,7 @@
   return { id: 'q1', worker: 'w0', at: AT + 10, account: 'looms', overAt: AT + 90, ...more }
 }
 
-const arrival = (more: Partial<ArrivalRecord> = {}): ArrivalRecord => ({ id: 'q1', worker: 'w0', service: 'orders', at: AT + 10, pauseMs: 0, ...more })
+const arrival = (more: Partial<ArrivalRecord> = {}): ArrivalRecord => ({ id: 'q1', worker: 'w0', service: 'orders', dataCentre: 'a', at: AT + 10, pauseMs: 0, ...more })
 const probe = (more: Partial<ProbeRecord> = {}): ProbeRecord => ({ route: 'extra0', gateway: 'g0', restarts: 0, at: AT, answeredAt: AT + 5, status: 200, ...more })
 const route = (more: Partial<ExtraRoute> = {}): ExtraRoute => ({ name: 'extra0', addedAt: 10_000, removedAt: Infinity, ...more })
 
@@ -30,8 +30,10 @@
     routes: [],
     leavingAt: new Map(),
     saysLeavingAt: new Map(),
+    evacuations: [],
     timeline: new Timeline(),
     drainMs: 2_000,
+    evacuationMs: 4_000,
     applyMs: 2_000,
     retryRatio: 0.2,
     retryBurst: 2,
@@ -52,6 +54,7 @@
     const later = call({ id: 'q2', answerId: 'q2', kind: 'read', startedAt: AT + 2_200, endedAt: AT + 2_300, status: 502 })
     return { calls: [call(), later], runs: [run()], arrivals: [arrival({ id: 'q2', at: AT + 2_250 })], saysLeavingAt: new Map([['w0', AT - 10]]) }
   },
+  evacuation: () => ({ calls: [call()], runs: [run()], arrivals: [arrival()], evacuations: [{ dataCentre: 'a', writtenAt: AT - 4_000, deletedAt: Infinity }] }),
   pause: () => {
     const ids = ['q1', 'q2', 'q3', 'q4']
     const refused = ids.map((id, i) => call({ id, answerId: id, status: 502, startedAt: AT + 600 * i }))
@@ -99,6 +102,22 @@
     expect([after(100), after(300)]).toEqual([['cancel'], []])
   })
 
+  // The check counted what arrived within the bound, after the end, or in another data centre, and what a gateway sent that couldn't know.
+  it('count requests to a data centre only while it is evacuated, from gateways that can know', () => {
+    const evacuated = (dataCentre: string, writtenAt: number, deletedAt: number, timeline = new Timeline()): string[] =>
+      violatedRules({ ...VIOLATIONS.evacuation!(), timeline, evacuations: [{ dataCentre, writtenAt, deletedAt }] })
+    const disturbed = (kind: string, what: string, at = AT - 3_000): Timeline => {
+      const timeline = new Timeline()
+      timeline.add({ kind, what, from: at, to: at + 500 })
+      return timeline
+    }
+    const from = AT - 4_000
+    expect([evacuated('a', from + 20, Infinity), evacuated('a', from, AT), evacuated('b', from, Infinity)]).toEqual([[], [], []])
+    expect([disturbed('store', 'store'), disturbed('pause', 'g0'), disturbed('worker link', 'w0')].flatMap(t => evacuated('a', from, Infinity, t))).toEqual([])
+    const excusesNothing = [disturbed('hup', 'g0'), disturbed('pause', 'g1'), disturbed('restored store', 'store', AT - 900)]
+    expect(excusesNothing.flatMap(t => evacuated('a', from, Infinity, t))).toEqual(['evacuation', 'evacuation', 'evacuation'])
+  })
+
   it('accept a 404 for a route removed while the probe was in flight, but not for one removed after the answer', () => {
     const removed = (removedAt: number): string[] => violatedRules({
       probes: [probe(), probe({ at: AT + 10, answeredAt: AT + 20, status: 404 })], routes: [route({ removedAt })]
--- a/src/soak/Checks.ts
+++ b/src/soak/Checks.ts
@@ -4,7 +4,7 @@
  */
 import { STREAM_EVENT_COUNT } from '../standin/PlatformWorker.js'
 import { STABLE_PERIOD_MS, type Timeline } from './Timeline.js'
-import { serviceOf, type ArrivalRecord, type CallRecord, type ExtraRoute, type ProbeRecord, type RunRecord, type ServiceName, type Violation } from './Types.js'
+import { serviceOf, type ArrivalRecord, type CallRecord, type EvacuationRecord, type ExtraRoute, type ProbeRecord, type RunRecord, type ServiceName, type Violation } from './Types.js'
 
 /** Statuses with which a gateway reports a request as not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
@@ -34,9 +34,12 @@
   readonly leavingAt: ReadonlyMap<string, number>
   /** When each worker began to say in its answers that it is leaving; Infinity for the others. */
   readonly saysLeavingAt: ReadonlyMap<string, number>
+  readonly evacuations: readonly EvacuationRecord[]
   readonly timeline: Timeline
   /** Time after which a leaving worker gets no new requests. */
   readonly drainMs: number
+  /** Time after which an evacuated data centre gets no requests. */
+  readonly evacuationMs: number
   /** Time within which a configuration is in force. */
   readonly applyMs: number
   /** Repeated sends allowed as a share of requests, on top of the burst. */
@@ -110,6 +113,20 @@
   })
 }
 
+/** An evacuated data centre gets no requests after the bound, if the store could be read when it was written; later faults of the store excuse nothing. */
+const evacuation: Check = ({ calls, arrivals, evacuations, evacuationMs, timeline }) => {
+  const gateways = new Map(calls.map(c => [c.id, c.gateway]))
+  const readable = evacuations.filter(e => timeline.isUndisturbed(['store'], e.writtenAt, e.writtenAt + STABLE_PERIOD_MS))
+  return readable.flatMap(({ dataCentre, writtenAt, deletedAt }) => arrivals.flatMap(a => {
+    const gateway = gateways.get(a.id)
+    const isWithin = a.dataCentre === dataCentre && a.at > writtenAt + evacuationMs + timeline.pausedMs(writtenAt, a.at) && a.at < deletedAt
+    if (gateway === undefined || !isWithin) return []
+    if (!timeline.isUndisturbed([gateway, a.worker], a.at - evacuationMs - STABLE_PERIOD_MS, a.at, PLANNED_KINDS)) return []
+    const detail = `from ${gateway} reached ${a.worker} in ${dataCentre} ${Math.round(a.at - writtenAt)} ms after its evacuation was written`
+    return [{ rule: 'evacuation', at: a.at, id: a.id, detail }]
+  }))
+}
+
 /** A worker that asked for a pause gets at most two requests in it from the gateway that it refused. */
 const pause: Check = ({ calls, arrivals, timeline }) => {
   const gateways = new Map(calls.map(c => [c.id, c.gateway]))
@@ -199,7 +216,7 @@
 
 /** All checks by the name of the guarantee. */
 export const CHECKS: Readonly<Record<string, Check>> = {
-  'own whole answer': ownAnswer, 'at most once': atMostOnce, 'not run': notRun, order, account, drain, word, pause, lost, cancel, denied, 'in force': inForce, 'never back': neverBack, budget, recovery
+  'own whole answer': ownAnswer, 'at most once': atMostOnce, 'not run': notRun, order, account, drain, word, evacuation, pause, lost, cancel, denied, 'in force': inForce, 'never back': neverBack, budget, recovery
 }
 
 /** Runs all checks and returns every violation. */
--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -3,8 +3,8 @@
 import type { SeededRandom } from '../common/SeededRandom.js'
 import type { WorkerMode } from '../standin/PlatformWorker.js'
 import type { FaultProxy, ProxyMode } from './FaultProxy.js'
-import { DRAIN_MS, GRACE_SEC, RETRY_BURST, type SoakGateway, type SoakSite, type SoakWorker } from './SoakSite.js'
-import { Timeline } from './Timeline.js'
+import { DATA_CENTRES, DRAIN_MS, EVACUATION_MS, GRACE_SEC, RETRY_BURST, type SoakGateway, type SoakSite, type SoakWorker } from './SoakSite.js'
+import { STABLE_PERIOD_MS, Timeline } from './Timeline.js'
 
 const MEAN_FAULT_INTERVAL_MS = 900
 const FAULT_FREE_TAIL_MS = 4_000 // no new faults this long before the end, so that the effects of the last ones are observed
@@ -16,9 +16,13 @@
 const ENTRY_TTL_MS = 3_600 // three heartbeats
 const RESTORE_MS = 300 // time that the store is away while it goes back to a copy
 const MEAN_REWRITE_MS = 400 // until what was lost is written again
+const MAX_REWRITE_MS = 1_500 // an evacuation that isn't written again within 2.2 s has ended
 const LATE_START_MS = 2_500
 const MEAN_EXTRA_LATE_START_MS = 3_000
 const WORD_MS = 2_000 // from a worker's own word that it leaves to the store's, beyond the drain time
+const EVACUATION_INTERVAL_MS = 6_000 // from the end of one to the next
+const EVACUATED_MS = 2_000 // beyond the bound
+const STORE_POLL_MS = 50
 const MEAN_DOWNTIME_MS = 500 // from exit to restart of a gateway
 const WORKER_MODES: readonly WorkerMode[] = ['full', 'failing', 'losing', 'tearing', 'mute', 'confused', 'unframed', 'unframed head', 'unframed whole']
 const PROXY_MODES: readonly ProxyMode[] = ['reset', 'drop-to-target', 'drop-to-client', 'drop-all']
@@ -48,7 +52,7 @@
       this.#kill, this.#stop, this.#pause, this.#reload, this.#killAll, this.#store, this.#restoreStore, this.#storeLink, this.#callerLink, this.#workerLink,
       this.#workerFault, this.#refuse, this.#crash, this.#leave, this.#publish, this.#publish
     ]
-    const running: Array<Promise<void>> = []
+    const running: Array<Promise<void>> = [this.#evacuateInTurn(end)]
     let remainingKinds: Array<typeof kinds[number]> = []
     while (performance.now() < end) {
       await sleep(this.#random.exponential(MEAN_FAULT_INTERVAL_MS))
@@ -63,6 +67,22 @@
     await Promise.all(running)
   }
 
+  /** Evacuates the data centres in turn, beside the other faults. The store has no fault until gateways must have read of it. */
+  async #evacuateInTurn (end: number): Promise<void> {
+    for (let i = 0; ; i++) {
+      await sleep(EVACUATION_INTERVAL_MS)
+      while (this.#busy.has('store')) await sleep(STORE_POLL_MS)
+      if (performance.now() >= end) return
+      this.#countFault('evacuation')
+      this.#busy.add('store')
+      const evacuation = this.#site.evacuate(DATA_CENTRES[i % DATA_CENTRES.length]!)
+      await sleep(STABLE_PERIOD_MS + 1)
+      this.#busy.delete('store')
+      await sleep(EVACUATION_MS + EVACUATED_MS - STABLE_PERIOD_MS)
+      this.#site.endEvacuation(evacuation)
+    }
+  }
+
   #drawDurationMs (): number {
     return MIN_DURATION_MS + this.#random.exponential(MEAN_EXTRA_DURATION_MS)
   }
@@ -179,7 +199,7 @@
       await sleep(RESTORE_MS)
       store.restore(copy)
       store.mode = 'serves'
-      await sleep(this.#random.exponential(MEAN_REWRITE_MS))
+      await sleep(Math.min(MAX_REWRITE_MS, this.#random.exponential(MEAN_REWRITE_MS)))
       this.#site.rewriteStore()
     })
   }
@@ -254,7 +274,7 @@
   async #crash (): Promise<void> {
     await this.#withFreeTarget('crash', this.#liveWorkers(), async w => {
       this.#site.endWorker(w, true)
-      await this.#site.addWorker(w.service)
+      await this.#site.addWorker(w.service, w.dataCentre)
       await sleep(ENTRY_TTL_MS)
       this.#site.endWorker(w, false)
     })
@@ -270,7 +290,7 @@
     if (w === undefined) return
     this.#countFault('leave')
     this.#busy.add(w.name)
-    await this.#site.addWorker(w.service)
+    await this.#site.addWorker(w.service, w.dataCentre)
     if (this.#random.next() < 0.3) {
       this.#site.sayLeaving(w)
       await sleep(DRAIN_MS + WORD_MS)
--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -3,16 +3,18 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { configurationRecord, CONFIGURATION_KEY, READINESS_PATH, settingsFileText, SETTINGS_VARIABLE, workerEntryKey } from '../standin/PlatformRecords.js'
+import { configurationRecord, CONFIGURATION_KEY, evacuationKey, READINESS_PATH, settingsFileText, SETTINGS_VARIABLE, workerEntryKey } from '../standin/PlatformRecords.js'
 import { PlatformStore } from '../standin/PlatformStore.js'
 import { PlatformWorker } from '../standin/PlatformWorker.js'
 import { freePort, freePorts } from '../tools/FreePort.js'
 import { ProcessSet } from '../tools/ProcessSet.js'
 import { FaultProxy } from './FaultProxy.js'
-import { REQUEST_KINDS, serviceOf, type ArrivalRecord, type ExtraRoute, type RunRecord, type ServiceName } from './Types.js'
+import { REQUEST_KINDS, serviceOf, type ArrivalRecord, type EvacuationRecord, type ExtraRoute, type RunRecord, type ServiceName } from './Types.js'
 
 /** Time after which a leaving worker gets no new requests. */
 export const DRAIN_MS = 2_000
+/** Time after which an evacuated data centre gets no more requests. */
+export const EVACUATION_MS = 4_000
 /** Time that a gateway has from SIGTERM to exit. */
 export const GRACE_SEC = 8
 /** Time within which each gateway applies a configuration. */
@@ -44,6 +46,7 @@
 export interface SoakWorker {
   readonly name: string
   readonly service: ServiceName
+  readonly dataCentre: string
   readonly worker: PlatformWorker
   readonly proxy: FaultProxy
   readonly proxyPort: number
@@ -62,7 +65,8 @@
 }
 
 const SUBNET = 1 + process.pid % 250 // each run has its own gateway addresses, so that runs can be concurrent
-const DATA_CENTRES = ['a', 'b', 'c']
+/** Data centres of the gateways and workers, which are spread over them. */
+export const DATA_CENTRES = ['a', 'b', 'c'] as const
 
 /** Starts and stops the parts of a site. */
 export class SoakSite {
@@ -76,6 +80,7 @@
   readonly logDir: string
   /** Routes added during the run, in the order in which they were added. */
   readonly extraRoutes: ExtraRoute[] = []
+  readonly evacuations: EvacuationRecord[] = []
   readonly #size: SoakSize
   /** What was last written to the store, by key; undefined when the key was deleted. */
   readonly #written = new Map<string, object | undefined>()
@@ -113,12 +118,12 @@
   }
 
   /** Starts a worker under a new id and writes its entry to the store. */
-  async addWorker (service: SoakWorker['service']): Promise<SoakWorker> {
+  async addWorker (service: ServiceName, dataCentre: string = DATA_CENTRES[this.#workersCreated % DATA_CENTRES.length]!): Promise<SoakWorker> {
     const name = `w${this.#workersCreated++}`
     const worker: PlatformWorker = new PlatformWorker(name, {
       workMs: WORK_MS,
       eventIntervalMs: EVENT_MS,
-      onArrival: (id, pauseMs) => this.arrivals.push({ id, worker: name, service, at: performance.now(), pauseMs }),
+      onArrival: (id, pauseMs) => this.arrivals.push({ id, worker: name, service, dataCentre, at: performance.now(), pauseMs }),
       onStart: (id, account) => this.runs.push({ id, worker: name, at: performance.now(), account, overAt: Infinity }),
       onEnd: id => {
         const run = this.runs.findLast(r => r.id === id && r.worker === name)
@@ -127,7 +132,7 @@
     })
     await worker.listen()
     const proxy = new FaultProxy(() => ({ host: '127.0.0.1', port: worker.port }))
-    const soakWorker = { name, service, worker, proxy, proxyPort: await proxy.listen(), leavingAt: Infinity, saysLeavingAt: Infinity, ended: false }
+    const soakWorker = { name, service, dataCentre, worker, proxy, proxyPort: await proxy.listen(), leavingAt: Infinity, saysLeavingAt: Infinity, ended: false }
     this.workers.push(soakWorker)
     this.writeEntry(soakWorker, 'ready')
     return soakWorker
@@ -135,7 +140,7 @@
 
   /** Writes the entry of a worker to the store. */
   writeEntry (w: SoakWorker, state: 'ready' | 'draining'): void {
-    this.#write(workerEntryKey(w.name), w.worker.storeEntry(w.service, state, w.proxyPort))
+    this.#write(workerEntryKey(w.name), { ...w.worker.storeEntry(w.service, state, w.proxyPort), zone: w.dataCentre })
     if (state === 'draining') w.leavingAt = performance.now()
   }
 
@@ -159,6 +164,20 @@
     if (!listed) this.deleteEntry(w)
   }
 
+  /** Writes the evacuation of a data centre to the store. */
+  evacuate (dataCentre: string): EvacuationRecord {
+    this.#write(evacuationKey(dataCentre), {})
+    const evacuation = { dataCentre, writtenAt: performance.now(), deletedAt: Infinity }
+    this.evacuations.push(evacuation)
+    return evacuation
+  }
+
+  /** Deletes the evacuation from the store. */
+  endEvacuation (evacuation: EvacuationRecord): void {
+    evacuation.deletedAt = performance.now()
+    this.#write(evacuationKey(evacuation.dataCentre), undefined)
+  }
+
   /** Publishes the next version of the configuration. */
   publishConfiguration (): void {
     this.#version += 3
@@ -190,7 +209,7 @@
   writeSettings (g: SoakGateway, retryBurst: number, bootstrap = false): void {
     const dataCentre = DATA_CENTRES[this.gateways.indexOf(g) % DATA_CENTRES.length]!
     const seeds = this.seeds.map(s => s.address)
-    const bounds = { drainMs: DRAIN_MS, graceSec: GRACE_SEC, retryRatio: RETRY_RATIO, retryBurst }
+    const bounds = { drainMs: DRAIN_MS, graceSec: GRACE_SEC, retryRatio: RETRY_RATIO, retryBurst, evacuationMs: EVACUATION_MS }
     writeFileSync(join(this.logDir, `${g.name}.json`), settingsFileText({ ...g, dataCentre, peerPort: this.#peerPort, seeds, bootstrap, bounds }))
   }
 
--- a/src/soak/Types.ts
+++ b/src/soak/Types.ts
@@ -50,6 +50,7 @@
   readonly id: string
   readonly worker: string
   readonly service: ServiceName
+  readonly dataCentre: string
   readonly at: number
   /** Pause in ms that the worker asked for when it refused the request; 0 for none. */
   readonly pauseMs: number
@@ -63,6 +64,14 @@
   removedAt: number
 }
 
+/** An evacuation of a data centre, as the operator wrote it. */
+export interface EvacuationRecord {
+  readonly dataCentre: string
+  readonly writtenAt: number
+  /** Infinity before the key is deleted. */
+  deletedAt: number
+}
+
 /** One probe request to a gateway on a route that was added or removed. */
 export interface ProbeRecord {
   readonly route: string
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -13,7 +13,7 @@
 import { RouteProbes } from './RouteProbes.js'
 import { SoakCallers } from './SoakCallers.js'
 import { SoakFaults } from './SoakFaults.js'
-import { CONFIG_APPLY_MS, DRAIN_MS, RETRY_BURST, RETRY_RATIO, SoakSite, type SoakSize } from './SoakSite.js'
+import { CONFIG_APPLY_MS, DRAIN_MS, EVACUATION_MS, RETRY_BURST, RETRY_RATIO, SoakSite, type SoakSize } from './SoakSite.js'
 import type { Violation } from './Types.js'
 
 const SETTLE_MS = 3_500 // until all gateways are connected to each other and the store
@@ -79,8 +79,10 @@
       routes: site.extraRoutes,
       saysLeavingAt: new Map(site.workers.map(w => [w.name, w.saysLeavingAt])),
       leavingAt: new Map(site.workers.map(w => [w.name, w.leavingAt])),
+      evacuations: site.evacuations,
       timeline: faults.timeline,
       drainMs: DRAIN_MS,
+      evacuationMs: EVACUATION_MS,
       applyMs: CONFIG_APPLY_MS,
       retryRatio: RETRY_RATIO,
       retryBurst: RETRY_BURST
--- a/src/standin/PlatformRecords.ts
+++ b/src/standin/PlatformRecords.ts
@@ -19,6 +19,11 @@
   return `servers/${worker}`
 }
 
+/** Store key with which the operator evacuates a data centre; its value is `{}`. */
+export function evacuationKey (dataCentre: string): string {
+  return `op/evacuate/${dataCentre}`
+}
+
 /** Route of the generated configuration; its path prefix is its name. */
 export interface RouteSpec {
   readonly name: string
@@ -48,6 +53,16 @@
   }
 }
 
+/** Bounds of the platform in a settings file. */
+export interface GatewayBoundsSpec {
+  readonly drainMs: number
+  readonly graceSec: number
+  readonly retryRatio: number
+  readonly retryBurst: number
+  /** Absent where data centres are never evacuated. */
+  readonly evacuationMs?: number
+}
+
 /** Values that differ between the settings files of gateways. */
 export interface GatewaySettingsSpec {
   readonly name: string
@@ -60,13 +75,14 @@
   readonly seeds: readonly string[]
   /** True when the whole fleet starts for the first time. */
   readonly bootstrap: boolean
-  readonly bounds: { readonly drainMs: number, readonly graceSec: number, readonly retryRatio: number, readonly retryBurst: number }
+  readonly bounds: GatewayBoundsSpec
   /** What the process may take; absent for the gateway's defaults. */
   readonly limits?: { readonly memoryMb: number, readonly maxDescriptors: number }
 }
 
 /** Text of a settings file in the format of the template in deploy/. */
 export function settingsFileText (spec: GatewaySettingsSpec): string {
+  const { drainMs, graceSec, retryRatio, retryBurst, evacuationMs } = spec.bounds
   return JSON.stringify({
     node_name: spec.name,
     ip: spec.address,
@@ -76,7 +92,7 @@
     bootstrap: spec.bootstrap,
     listen: { frontend: `${spec.address}:${spec.frontPort}`, readiness: `${spec.address}:${spec.readinessPort}` },
     platform: { address: `127.0.0.1:${spec.storePort}` },
-    bounds: { drain_ms: spec.bounds.drainMs, grace_s: spec.bounds.graceSec, retry_budget_ratio: spec.bounds.retryRatio, retry_burst: spec.bounds.retryBurst },
+    bounds: { drain_ms: drainMs, grace_s: graceSec, retry_budget_ratio: retryRatio, retry_burst: retryBurst, evacuation_ms: evacuationMs },
     limits: spec.limits === undefined ? undefined : { memory_mb: spec.limits.memoryMb, max_fds: spec.limits.maxDescriptors }
   })
 }
