--- a/review/site-2.mjs
+++ b/review/site-2.mjs
@@ -156,18 +156,46 @@
     this.#record.write(`${((performance.now() - this.#startedAt) / 1_000).toFixed(3).padStart(8)}  ${text}\n`)
   }
 
-  async start ({ gateways, zones = ['a', 'b', 'c'], config }) {
+  /** @param storeLinks true to give each gateway a link of its own to the store, which a script can cut. */
+  async start ({ gateways, zones = ['a', 'b', 'c'], config, storeLinks = false }) {
     this.#storePort = await this.store.listen()
     this.#peerPort = await freePort()
     this.store.put('op/config', config)
     for (let i = 0; i < gateways; i++) {
       this.gateways.push({ name: `edge-${i + 1}`, ip: `127.${SUBNET}.0.${i + 1}`, zone: zones[i % zones.length], port: await freePort(), readyPort: await freePort(), child: undefined, log: join(this.#dir, `edge-${i + 1}.log`) })
     }
+    if (storeLinks) for (const g of this.gateways) g.storeLink = await this.#addStoreLink()
     for (const g of this.gateways) this.startGateway(g)
     for (const g of this.gateways) await this.#waitUntilReady(g)
     await sleep(1_500)
   }
 
+  /** A link to the store. While it is cut, nothing passes in either direction; it counts the watches that passed. */
+  async #addStoreLink () {
+    const link = { port: 0, cut: false, watches: 0 }
+    const sockets = new Set()
+    const server = createNetServer({ noDelay: true }, gateway => {
+      const store = connect({ host: '127.0.0.1', port: this.#storePort, noDelay: true })
+      for (const s of [gateway, store]) {
+        sockets.add(s)
+        s.on('error', () => {}).on('close', () => sockets.delete(s))
+      }
+      gateway.on('data', bytes => {
+        if (link.cut) return
+        if (bytes.includes('/v1/kv-watch')) link.watches++
+        store.write(bytes)
+      })
+      store.on('data', bytes => { if (!link.cut) gateway.write(bytes) })
+      gateway.on('close', () => store.destroy())
+      store.on('close', () => { if (!link.cut) gateway.destroy() })
+    })
+    server.closeAllConnections = () => sockets.forEach(s => s.destroy())
+    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+    this.#servers.push(server)
+    link.port = server.address().port
+    return link
+  }
+
   /** Starts a gateway by the command of the deploy file, with the variables that the platform passes on. */
   startGateway (g) {
     const settings = {
@@ -201,7 +229,7 @@
         retry_burst: 129,
         recovery_s: 12
       },
-      platform: { address: `127.0.0.1:${this.#storePort}`, form: 'read', reads_per_s: 2000, history_s: 20, max_value_bytes: 1048576 },
+      platform: { address: `127.0.0.1:${g.storeLink?.port ?? this.#storePort}`, form: 'read', reads_per_s: 2000, history_s: 20, max_value_bytes: 1048576 },
       ...this.#settings
     }
     const path = join(this.#dir, `${g.name}.json`)
