--- a/review/site-2.mjs
+++ b/review/site-2.mjs
@@ -136,6 +136,8 @@
   store = new Store()
   gateways = []
   workers = []
+  /** Other processes that the script started. */
+  children = []
   #servers = []
   #dir = mkdtempSync(join(tmpdir(), 'review-'))
   #record
@@ -330,6 +332,7 @@
       child?.kill('SIGCONT')
       child?.kill('SIGKILL')
     }
+    for (const child of this.children) child.kill('SIGKILL')
     for (const w of this.workers) w.leave()
     for (const s of this.#servers) {
       s.closeAllConnections()
@@ -388,6 +391,7 @@
 /** Runs a script: exit code by what `play` resolves to, 2 when it fails. */
 export async function main (site, play) {
   let code = NOT_RUN
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => site.stop().finally(() => process.exit(NOT_RUN)))
   const limit = setTimeout(() => {
     site.note('took too long')
     site.stop().finally(() => process.exit(NOT_RUN))
