--- a/review/site-2.mjs
+++ b/review/site-2.mjs
@@ -266,52 +266,6 @@
     return worker
   }
 
-  /** Starts a worker that speaks on the sockets of its connections. @param serve called with the worker's id and each connection. */
-  async addRawWorker (id, service, zone, serve) {
-    const sockets = new Set()
-    const server = createNetServer(socket => {
-      sockets.add(socket)
-      socket.on('close', () => sockets.delete(socket))
-      serve(id, socket)
-    })
-    server.closeAllConnections = () => sockets.forEach(s => s.destroy())
-    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
-    this.#servers.push(server)
-    const worker = new Worker(this, id, service, zone, server.address().port)
-    worker.server = server
-    worker.sockets = sockets
-    this.workers.push(worker)
-    return worker
-  }
-
-  /** A proxy in front of a gateway, with the bandwidth that each client has towards it. Returns its port on 127.0.0.1. */
-  async addLink (g, bytesPerSec) {
-    const sockets = new Set()
-    const server = createNetServer({ noDelay: true }, client => {
-      let freeAt = 0
-      const gateway = connect({ host: g.ip, port: g.port, noDelay: true })
-      for (const s of [client, gateway]) {
-        sockets.add(s)
-        s.on('error', () => {}).on('close', () => sockets.delete(s))
-      }
-      client.pipe(gateway)
-      client.on('close', () => gateway.destroy())
-      gateway.on('close', () => client.end())
-      gateway.on('data', bytes => {
-        client.write(bytes)
-        const now = performance.now()
-        freeAt = Math.max(now, freeAt) + bytes.length / bytesPerSec * 1_000
-        if (freeAt - now < 1) return
-        gateway.pause()
-        setTimeout(() => gateway.resume(), freeAt - now)
-      })
-    })
-    server.closeAllConnections = () => sockets.forEach(s => s.destroy())
-    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
-    this.#servers.push(server)
-    return server.address().port
-  }
-
   /** Resident memory of a gateway in MB. */
   memoryMb (g) {
     try {
