--- a/review/site-2.mjs
+++ b/review/site-2.mjs
@@ -101,19 +101,19 @@
   /** False while the worker is cut off from the store. */
   reachesStore = true
 
-  constructor (site, id, service, zone, port) {
+  constructor (site, id, service, zone, port, slots = 64) {
     this.#site = site
-    Object.assign(this, { id, service, zone, port, address: `127.0.0.1:${port}` })
+    Object.assign(this, { id, service, zone, port, slots, address: `127.0.0.1:${port}` })
     this.#beat()
     this.#timer = setInterval(() => this.#beat(), HEARTBEAT_MS / 4)
   }
 
   #beat () {
     const now = performance.now()
-    const { service, address, zone, state, born } = this
+    const { service, address, zone, slots, state, born } = this
     if (this.reachesStore && now - this.#writtenAt >= HEARTBEAT_MS) {
       this.#writtenAt = now
-      this.#site.store.put(`servers/${this.id}`, { service, address, zone, version: 'v1', slots: 64, state, cold_left_ms: 0, born, seq_no: ++this.#seq })
+      this.#site.store.put(`servers/${this.id}`, { service, address, zone, version: 'v1', slots, state, cold_left_ms: 0, born, seq_no: ++this.#seq })
     } else if (now - this.#writtenAt > 3 * HEARTBEAT_MS) {
       this.#site.store.delete(`servers/${this.id}`)
     }
