A gateway logs whence a configuration came, and why it read one without a watch

New: the line "configuration in force" has `from` (platform or peer) and `unconfirmedMs`, the line "configuration not confirmed in time, reads it" has the age, and radishloft_config_age_seconds shows it at any time.

--- a/src/gateway/CallerServer.ts
+++ b/src/gateway/CallerServer.ts
@@ -74,7 +74,7 @@
     })
     this.#server.on('clientError', (e: NodeJS.ErrnoException, socket) => this.#connections.onClientError(e, socket as Socket))
     services.systemLog.info({ step: 'start', ...limits, maxBodyBytes }, 'limits of callers')
-    this.own(services.config.onChange(table => this.#applyLimits(table.config.limits)))
+    this.own(services.config.onChange(({ table }) => this.#applyLimits(table.config.limits)))
     this.own(toDisposable(() => {
       this.#server.close()
       this.#server.closeAllConnections()
--- a/src/gateway/ConfigHolder.ts
+++ b/src/gateway/ConfigHolder.ts
@@ -6,9 +6,21 @@
 import type { RoutingConfig } from '../common/routing/Types.js'
 import type { IClock } from '../common/Services.js'
 
+/** A configuration that came into force. */
+export interface ConfigChange {
+  readonly table: RouteTable
+  /** Who sent it: the platform, or the id of a peer. */
+  readonly from: string
+  /** Time since the configuration before was last confirmed; Infinity when it never was. */
+  readonly unconfirmedMs: number
+}
+
+/** Sender of a configuration that this gateway read by itself. */
+export const FROM_PLATFORM = 'platform'
+
 export class ConfigHolder extends Disposable {
   readonly #clock: IClock
-  readonly #changed = this.own(new Emitter<RouteTable>())
+  readonly #changed = this.own(new Emitter<ConfigChange>())
   #table: RouteTable | undefined
   #confirmedAt = -Infinity
 
@@ -38,12 +50,13 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, this.#clock.nowMs() - ageMs)
   }
 
-  /** Puts a configuration into force if its revision is higher than that of the current one; returns false otherwise. */
-  update (config: RoutingConfig): boolean {
+  /** Puts a configuration into force if its revision is higher than that of the current one; returns false otherwise. @param from platform or peer. */
+  update (config: RoutingConfig, from: string): boolean {
     const current = this.#table?.config
     if (current !== undefined && !supersedes({ revision: config.revision, digest: '' }, { revision: current.revision, digest: '' })) return false
+    const unconfirmedMs = this.ageMs
     this.#table = new RouteTable(config)
-    this.#changed.fire(this.#table)
+    this.#changed.fire({ table: this.#table, from, unconfirmedMs })
     return true
   }
 }
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -15,7 +15,7 @@
 import { probeByConnecting } from '../router/engines/ConnectProbe.js'
 import type { Log } from '../router/telemetry/Log.js'
 import { CallerServer } from './CallerServer.js'
-import { ConfigHolder } from './ConfigHolder.js'
+import { ConfigHolder, FROM_PLATFORM, type ConfigChange } from './ConfigHolder.js'
 import { EndpointLimiter, shareOf } from './EndpointLimiter.js'
 import { EndpointPool } from './EndpointPool.js'
 import { EvacuationHolder } from './EvacuationHolder.js'
@@ -105,13 +105,8 @@
     metrics.evacuations = () => this.#evacuations?.ages ?? []
     const limits = connectionLimits({ ...settings, heapBytes: getHeapStatistics().heap_size_limit })
     this.#pool = this.own(new EndpointPool(clock, log, { evacuations: this.#evacuations, regionOf, maxIdleConnections: limits.maxIdleEndpointConnections }))
-    this.own(this.#config.onChange(table => {
-      const { revision, routes, services, accounts } = table.config
-      log.info({ step: 'config', revision, routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }, 'configuration in force')
-      metrics.configRevision.set(revision)
-      this.#pool.updateServices(services)
-      this.#countCold()
-    }))
+    metrics.configAgeMs = () => this.#config.ageMs
+    this.own(this.#config.onChange(change => this.#onConfigChange(change)))
     const self = { id: settings.metrics.address, dataCentre: settings.dataCentre, address: settings.metrics.address, peerPort: settings.peerPort }
     this.#peers = this.own(new MembershipTask(self, settings.seeds, clock, random, metrics, log, () => this.#config.revision))
     this.#gossip = this.own(new GossipTask(this.#peers, clock, random, log, this.#gossipHost()))
@@ -170,7 +165,7 @@
 
   /** Applies a configuration that was read from the platform, unless a newer one is in force. */
   updateConfig (config: RoutingConfig): void {
-    this.#config.update(config)
+    this.#config.update(config, FROM_PLATFORM)
   }
 
   /** Records that the platform has no newer configuration than the one that was read last. */
@@ -210,6 +205,11 @@
     return this.#peers.isReader(CONFIG_TOPIC)
   }
 
+  /** Time since a read of this gateway or of a peer confirmed the configuration. */
+  get configAgeMs (): number {
+    return this.#config.ageMs
+  }
+
   /** Fires when this gateway becomes or ceases to be a reader of its data centre. */
   get onReaderChange (): IEvent<void> {
     return this.#peers.onReaderChange
@@ -264,6 +264,15 @@
     this.dispose()
   }
 
+  #onConfigChange ({ table, from, unconfirmedMs }: ConfigChange): void {
+    const { revision, routes, services, accounts } = table.config
+    const counts = { routes: routes.length, services: services.length, accounts: accounts?.length ?? 0 }
+    this.#log.info({ step: 'config', revision, from, unconfirmedMs: toWholeMs(unconfirmedMs), ...counts }, 'configuration in force')
+    this.#metrics.configRevision.set(revision)
+    this.#pool.updateServices(services)
+    this.#countCold()
+  }
+
   /** Records that the platform had nothing newer `ageMs` ago: its configuration and its evacuations are read together. */
   #confirmConfig (ageMs: number): void {
     this.#config.confirm(ageMs)
@@ -313,7 +322,7 @@
     return {
       get config () { return config.table?.config },
       get endpoints () { return table.list },
-      updateConfig: value => this.#config.update(value),
+      updateConfig: (value, from) => this.#config.update(value, from),
       updateEndpoints: (list, ageMs) => this.#applyEndpoints(list, ageMs)
     }
   }
@@ -342,3 +351,8 @@
     return { instances: fleet.instances, fraction: fleet.seedFraction(now), knownMs: fleet.knownMs(now), isAmongFirst }
   }
 }
+
+/** Whole milliseconds for a log; undefined for what never was. */
+function toWholeMs (ms: number): number | undefined {
+  return ms === Infinity ? undefined : Math.round(ms)
+}
--- a/src/gateway/GatewayMetrics.ts
+++ b/src/gateway/GatewayMetrics.ts
@@ -35,6 +35,15 @@
   readonly coldEndpoints = new Gauge({ name: 'radishloft_cold_endpoints', help: 'Endpoints that warm up, as of the last list.', registers: [this.registry] })
   readonly configRevision = new Gauge({ name: 'radishloft_config_revision', help: 'Revision of the configuration in force.', registers: [this.registry] })
 
+  /** Time since the configuration in force was last confirmed when metrics are collected. */
+  configAgeMs: () => number = () => Infinity
+  readonly configAge: Gauge = new Gauge({
+    name: 'radishloft_config_age_seconds',
+    help: 'Time since a read of this gateway or of a peer confirmed that there is no newer configuration.',
+    registers: [this.registry],
+    collect: () => this.configAge.set(this.configAgeMs() / 1_000)
+  })
+
   /** The evacuations in force when metrics are collected. */
   evacuations: () => readonly EvacuationAge[] = () => []
   readonly evacuationCount: Gauge = new Gauge({
--- a/src/platform/ReaderFailover.test.ts
+++ b/src/platform/ReaderFailover.test.ts
@@ -90,9 +90,11 @@
     this.#peers = peers
     const wait = async (ms: number): Promise<void> => await sleep(ms)
     const isReader = (): boolean => this.isReader
+    const ageMs = (): number => performance.now() - this.confirmedAt
     const receiver = {
       get isConfigReader () { return isReader() },
       onReaderChange: this.#readerChange.event,
+      get configAgeMs () { return ageMs() },
       configWaitMs: (intervalMs: number) => readWaitMs(false, performance.now() - this.confirmedAt, intervalMs, instanceJitter(id)),
       listWaitMs: () => Infinity,
       followsEvacuations: false,
--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -16,6 +16,7 @@
 function createReceiver (changes: Partial<IStoreReceiver>): IStoreReceiver {
   return {
     isConfigReader: true,
+    configAgeMs: 0,
     onReaderChange: () => toDisposable(() => {}),
     configWaitMs: () => 0,
     listWaitMs: () => 0,
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -29,6 +29,8 @@
   readonly isConfigReader: boolean
   /** Fires when this instance becomes or ceases to be a reader, so that its next read may be due earlier. */
   readonly onReaderChange: IEvent<void>
+  /** Time since a read of this instance or of a peer confirmed the configuration; Infinity before the first. */
+  readonly configAgeMs: number
   /** Time until the configuration should be read, when this instance doesn't watch it. */
   configWaitMs (intervalMs: number): number
   /** Time until the list should be read again. */
@@ -152,6 +154,7 @@
     if (!this.receiver.isConfigReader) {
       const waitMs = this.receiver.configWaitMs(CONFIG_FALLBACK_MS)
       if (waitMs > 0) return waitMs
+      this.log.info({ step: 'config', ageMs: Math.round(this.receiver.configAgeMs) }, 'configuration not confirmed in time, reads it')
       this.#position = undefined
     }
     const position = this.#position
