A late answer of the store counts as old as it may be

A gateway that stood still with its watch open, or whose answer was held up, so refreshed what it holds, and by gossip the whole fleet, for as long as it had stood still: nobody reads by himself then, however old the configuration is.

Cause: the age was counted from the moment at which the answer was read, not from the time until which the store had nothing newer.

Tests (StoreReaders.test.ts, "when an answer of the store is late"): with an answer 2.5 s late, or a change after 0.9 s, the age was 0 before, and is 2,500 and 900 ms now; a read of 300 ms counted as 0 without evacuations.

--- a/src/platform/StoreReaders.test.ts
+++ b/src/platform/StoreReaders.test.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { pino } from 'pino'
-import { afterEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { toDisposable } from '../common/Disposable.js'
 import { SeededRandom } from '../common/SeededRandom.js'
 import { GatewayMetrics } from '../gateway/GatewayMetrics.js'
@@ -288,3 +288,61 @@
     expect(calls.slice(0, 4)).toEqual(['add a', 'add a', 'update a', 'confirm'])
   })
 })
+
+const LATE_MS = 2_500 // beyond the wait of a watch
+const WATCHED_MS = 1_500 // wait of the receiver's watches
+const CHANGED_MS = 900
+
+/** Answers of a store, each after a time. */
+type TimedAnswer = readonly [afterMs: number, answer: Answer]
+
+/** Ages at which a reader confirms the configuration when the store answers the key and then the watch like this. */
+async function confirmedAges (key: TimedAnswer, watch: TimedAnswer, changes: Partial<IStoreReceiver> = {}): Promise<number[]> {
+  const ages: number[] = []
+  const answer = async ([afterMs, value]: TimedAnswer): Promise<Answer> => {
+    await new Promise(resolve => setTimeout(resolve, afterMs))
+    return value
+  }
+  const first = async (): Promise<Answer> => await answer(key)
+  const reads: IStoreReads = { key: first, range: first, watch: async () => await answer(watch) }
+  const receiver = createReceiver({
+    confirmConfig: ageMs => {
+      ages.push(Math.round(ageMs))
+      if (ages.length === 2) reader.dispose()
+    },
+    ...changes
+  })
+  const reader = new ConfigReader(reads, new SeededRandom(1), pino({ level: 'silent' }), receiver, async () => {})
+  const run = reader.run()
+  await vi.advanceTimersByTimeAsync(VIRTUAL_MS)
+  await run
+  return ages
+}
+
+// An answer that came late, as after a pause of the process, counted as if the store had given it at that moment, and so refreshed the whole fleet.
+describe('ConfigReader, when an answer of the store is late', () => {
+  beforeEach(() => { vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }) })
+
+  afterEach(() => { vi.useRealTimers() })
+
+  const config = read(5, 1, [{ key: 'op/config', value: Buffer.from(JSON.stringify(OP_CONFIG)) }])
+  const changed = read(6, 1, [{ key: 'op/config', value: Buffer.from(JSON.stringify({ ...OP_CONFIG, version: 4 })) }])
+
+  it.each([false, true])('counts the age from the time until which the store was sure, with evacuations: %s', async followsEvacuations => {
+    const ages = {
+      late: await confirmedAges([300, config], [WATCHED_MS + LATE_MS, read(5)], { followsEvacuations }),
+      inTime: await confirmedAges([4, config], [WATCHED_MS + 4, read(5)], { followsEvacuations }),
+      cutShort: await confirmedAges([4, config], [CHANGED_MS, read(5)], { followsEvacuations }),
+      changed: await confirmedAges([4, config], [CHANGED_MS, changed], { followsEvacuations })
+    }
+    expect(ages).toEqual({ late: [300, LATE_MS], inTime: [4, 4], cutShort: [4, CHANGED_MS], changed: [4, CHANGED_MS] })
+  })
+
+  it('passes the age on with a configuration and with evacuations', async () => {
+    const received: Array<readonly [string, number]> = []
+    const note = (what: string) => (_value: unknown, ...more: readonly unknown[]): void => { received.push([what, Math.round(more.at(-1) as number)]) }
+    const changes = { followsEvacuations: true, updateConfig: note('configuration'), updateEvacuations: note('evacuations') }
+    await confirmedAges([300, config], [CHANGED_MS, changed], changes)
+    expect(received.slice(0, 4)).toEqual([['evacuations', 300], ['configuration', 300], ['evacuations', CHANGED_MS], ['configuration', CHANGED_MS]])
+  })
+})
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -14,6 +14,7 @@
 const UNPUBLISHED_POLL_INTERVAL_MS = 400
 const UNPUBLISHED_WAIT_MS = 2_500 // for the first configuration to arrive from a peer, before an instance reads the store itself
 const MIN_PAUSE_MS = 50 // between two calls, whatever the answer was
+const TIMER_TOLERANCE_MS = 50 // by which the store's timers may be ahead of this process's
 const MIN_BACKOFF_MS = 150
 const MAX_BACKOFF_MS = 1_200
 
@@ -38,7 +39,7 @@
   listWaitMs (intervalMs: number): number
   /** True where data centres may be evacuated; the configuration's reader then follows the evacuations, too. */
   readonly followsEvacuations: boolean
-  /** Takes the data centres that are evacuated as of a version of the store; all others aren't. @param ageMs time since they were read. */
+  /** Takes the data centres that are evacuated as of a version of the store; all others aren't. @param ageMs time since it is known to have had no others. */
   updateEvacuations (dataCentres: readonly string[], version: ListVersion, ageMs: number): void
   /** Takes data centres that are evacuated as of a version of the store, by a read that doesn't tell of all. */
   addEvacuations (dataCentres: readonly string[], version: ListVersion): void
@@ -168,14 +169,14 @@
       this.#position = undefined // the store may come back from a copy, in which the revision stands for another change
       return this.failed(read.error)
     }
-    const { version, items } = read.value
-    if (position === undefined) return this.#applyAll(read.value, performance.now() - startedAt)
-    this.#applyChanges(position, read.value)
+    const { version } = read.value
+    const elapsedMs = performance.now() - startedAt
+    if (position === undefined) return this.#applyAll(read.value, elapsedMs)
+    this.#applyChanges(position, read.value, watchAgeMs(read.value, elapsedMs, times))
     if (position.epoch !== version.epoch) return this.#onRestored(position, version)
     if (read.value.isPartial === true && this.receiver.followsEvacuations) return this.#onPartial()
-    const hasWaited = performance.now() - startedAt > times.waitMs / 2
-    const hasChanges = items.length > 0 || (read.value.deleted?.length ?? 0) > 0
-    return this.answered(hasWaited || (hasChanges && compareVersions(version, position) > 0))
+    const hasWaited = elapsedMs > times.waitMs / 2
+    return this.answered(hasWaited || (hasChanges(read.value) && compareVersions(version, position) > 0))
   }
 
   async #readAll (): Promise<Result<StoreRead, StoreError>> {
@@ -195,7 +196,7 @@
       this.#applyConfig(read, ageMs)
       return read.isPartial === true ? this.#onPartial() : this.#afterRead()
     }
-    this.#applyConfig(read)
+    this.#applyConfig(read, ageMs)
     return this.#afterRead()
   }
 
@@ -206,15 +207,15 @@
   }
 
   /** Applies what changed since `position`. Changes of another epoch stand for themselves only: all is read again. */
-  #applyChanges (position: ListVersion, read: StoreRead): void {
+  #applyChanges (position: ListVersion, read: StoreRead, ageMs: number): void {
     if (!this.receiver.followsEvacuations) {
-      this.#applyConfig(read)
+      this.#applyConfig(read, ageMs)
       return
     }
     if (read.version.epoch !== position.epoch) return
     const deleted = new Set(read.deleted?.map(parseEvacuation))
-    this.#updateEvacuations(new Set([...[...this.#evacuated].filter(name => !deleted.has(name)), ...evacuatedIn(read)]), read, 0)
-    this.#applyConfig(read)
+    this.#updateEvacuations(new Set([...[...this.#evacuated].filter(name => !deleted.has(name)), ...evacuatedIn(read)]), read, ageMs)
+    this.#applyConfig(read, ageMs)
   }
 
   #updateEvacuations (dataCentres: ReadonlySet<string>, { version, isPartial }: StoreRead, ageMs: number): void {
@@ -247,8 +248,8 @@
     return this.receiver.isConfigReader ? UNPUBLISHED_POLL_INTERVAL_MS : UNPUBLISHED_WAIT_MS
   }
 
-  /** @param ageMs time since the read began. */
-  #applyConfig (read: StoreRead, ageMs = 0): void {
+  /** @param ageMs time since the store is known to have had nothing newer. */
+  #applyConfig (read: StoreRead, ageMs: number): void {
     this.#position = read.version
     const isWhole = read.isPartial !== true || !this.receiver.followsEvacuations
     for (const item of read.items.filter(i => i.key === CONFIG_KEY)) {
@@ -260,6 +261,19 @@
   }
 }
 
+function hasChanges ({ items, deleted }: StoreRead): boolean {
+  return items.length > 0 || (deleted?.length ?? 0) > 0
+}
+
+/**
+ * Time since the store is known to have had nothing newer than the answer to a watch. The store held an empty answer back for the whole wait;
+ * any other may have been on its way since the watch began, as when this process stood still.
+ */
+function watchAgeMs (read: StoreRead, elapsedMs: number, { waitMs }: WatchTimes): number {
+  const isHeldBack = !hasChanges(read) && elapsedMs > waitMs - TIMER_TOLERANCE_MS
+  return isHeldBack ? Math.max(0, elapsedMs - waitMs) : elapsedMs
+}
+
 function evacuatedIn (read: StoreRead): string[] {
   return read.items.map(item => parseEvacuation(item.key)).filter(dataCentre => dataCentre !== undefined)
 }
