After a pause of the process, what peers sent meanwhile counts as that old

Cause: the ages in a datagram count from its arrival, which a paused process doesn't see. The gossip's own timer shows a pause (a tick that is two intervals late); datagrams count as older by the pause until the input of before must have been read, one interval after that tick, as timers can be due before input.

Test: GossipTask.test.ts, "in a process that stood still", failed before (age 10 ms after a pause of 4 s, 4,010 expected), with the timer or the input first. Not covered: a machine that is suspended with its steady clock, which the timer can't see. What callers saw of it isn't known.

--- a/src/gateway/GossipTask.test.ts
+++ b/src/gateway/GossipTask.test.ts
@@ -1,5 +1,5 @@
 import { pino } from 'pino'
-import { describe, expect, it, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { Emitter } from '../common/Emitter.js'
 import type { GossipDatagram, PeerDatagram } from '../common/generated/PeerDatagram.js'
 import type { Member } from '../common/membership/MemberTable.js'
@@ -29,6 +29,7 @@
   /** Ages at which the configuration was confirmed. */
   readonly confirmedAges: number[] = []
   readonly task: GossipTask
+  readonly clock = new FakeClock()
   readonly #received = new Emitter<PeerDatagram>()
 
   constructor (id: string, members: readonly Member[], evacuationMs?: number) {
@@ -51,7 +52,7 @@
         this.sent.push(datagram as GossipDatagram)
       }
     }
-    this.task = new GossipTask(peers, new FakeClock(), new SeededRandom(1), silent, {
+    this.task = new GossipTask(peers, this.clock, new SeededRandom(1), silent, {
       viewVersion: () => this.view,
       loadReports: () => [{ endpoint: 1, requests: 2, ageMs: 3, failed: 0, ended: 0 }],
       mergeLoadReports: () => {},
@@ -135,3 +136,40 @@
     expect([gateway.sent.map(d => d.evacuations), 'evacuations' in without.sent[0]!, without.confirmedAges]).toEqual([[evacuations], false, [0]])
   })
 })
+
+describe('GossipTask, in a process that stood still', () => {
+  const PAUSE_MS = 4_000
+  const INTERVAL_MS = 250
+
+  beforeEach(() => { vi.useFakeTimers() })
+
+  afterEach(() => { vi.useRealTimers() })
+
+  /** Lets the task gossip for a while. */
+  function run (gateway: TestGateway, ms: number): void {
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += INTERVAL_MS) {
+      gateway.clock.advance(INTERVAL_MS)
+      vi.advanceTimersByTime(INTERVAL_MS)
+    }
+  }
+
+  /** Ages taken from datagrams that arrived during a pause: of the configuration, of the list. */
+  function agesAfterPause (timerFirst: boolean): number[] {
+    const gateway = new TestGateway('a1', others('a1'))
+    gateway.view = { ...gateway.view, configAgeMs: Infinity, listAgeMs: Infinity }
+    gateway.task.start()
+    run(gateway, 1_000)
+    gateway.clock.advance(PAUSE_MS)
+    if (timerFirst) vi.advanceTimersByTime(INTERVAL_MS)
+    gateway.receive('b1', { configAgeMs: 10, listAgeMs: 20 })
+    run(gateway, 1_000)
+    gateway.receive('b2', { configAgeMs: 10, listAgeMs: 20 })
+    gateway.task.dispose()
+    return [...gateway.confirmedAges, gateway.view.listAgeMs]
+  }
+
+  // What had waited in the socket since before the pause counted as fresh, and was passed on as such to peers.
+  it.each([true, false])('takes what it reads after a pause as old as that may be, and later input as it says; its timer first: %s', timerFirst => {
+    expect(agesAfterPause(timerFirst)).toEqual([PAUSE_MS + 10, 10, 20])
+  })
+})
--- a/src/gateway/GossipTask.ts
+++ b/src/gateway/GossipTask.ts
@@ -6,6 +6,7 @@
 import { Disposable, toDisposable } from '../common/Disposable.js'
 import type { EvacuationReport, GossipDatagram, ListVersion } from '../common/generated/PeerDatagram.js'
 import { READER_RANKS } from '../common/peers/ConfigSchedule.js'
+import { InputDelay } from '../common/peers/InputDelay.js'
 import { readerOf, readersOf } from '../common/peers/ReaderElection.js'
 import { compareConfig, compareList, type ViewVersion } from '../common/peers/ViewVersion.js'
 import type { IClock, IRandom } from '../common/Services.js'
@@ -45,6 +46,7 @@
   readonly #random: IRandom
   readonly #log: Log
   readonly #host: IGossipHost
+  readonly #inputDelay = new InputDelay(GOSSIP_INTERVAL_MS)
   #nextBroadcastAt = 0
 
   constructor (peers: IGossipPeers, clock: IClock, random: IRandom, log: Log, host: IGossipHost) {
@@ -59,7 +61,11 @@
 
   /** Starts to gossip at an interval; the peers' socket must be bound. */
   start (): void {
-    const timer = setInterval(() => this.#gossip(GOSSIP_FANOUT, this.#host.loadReports()), GOSSIP_INTERVAL_MS)
+    this.#tick()
+    const timer = setInterval(() => {
+      this.#tick()
+      this.#gossip(GOSSIP_FANOUT, this.#host.loadReports())
+    }, GOSSIP_INTERVAL_MS)
     this.own(toDisposable(() => clearInterval(timer)))
   }
 
@@ -105,6 +111,17 @@
     return { kind: 'news', id: this.#peers.self.id, configRevision, listVersion, listDigest, ...ages, loads, limits: this.#host.limitReports(), ...evacuations }
   }
 
+  #tick (): void {
+    const pausedMs = this.#inputDelay.tick(this.#clock.nowMs())
+    if (pausedMs > 0) this.#log.info({ step: 'peers', pausedMs: Math.round(pausedMs) }, 'process was paused, what peers sent meanwhile counts as that old')
+  }
+
+  /** A message with the ages that its content may have by now. */
+  #aged (message: GossipDatagram): GossipDatagram {
+    const delayMs = this.#inputDelay.delayMs(this.#clock.nowMs())
+    return delayMs === 0 ? message : { ...message, configAgeMs: message.configAgeMs + delayMs, listAgeMs: message.listAgeMs + delayMs }
+  }
+
   /** Sends to some peers, including those that are leaving, as they continue to serve for a while. */
   #gossip (fanout: number, loads: GossipDatagram['loads']): void {
     this.#send(sample(this.#peers.contactable(), fanout, this.#random), loads)
@@ -115,7 +132,8 @@
     if (peers.length > 0) this.#peers.sendAll(peers, this.#createMessage(loads))
   }
 
-  #receive (message: GossipDatagram): void {
+  #receive (received: GossipDatagram): void {
+    const message = this.#aged(received)
     this.#host.mergeLoadReports(message.id, message.loads)
     this.#host.mergeLimitReports(message.limits)
     const hasEvacuations = this.#host.mergeEvacuations(message.id, message.evacuations)
