The soak cuts off all that watch the store at once, while configurations follow each other

New trouble: the gateways with an open watch, as the store's stand-in sees them, are dropped from the store for some 6 s, and seven configurations add and remove routes meanwhile. The check is the one that was there, "in force": a route 2 s after its configuration, at gateways that weren't disturbed. The settings now name config_apply_ms.

Of a violation that belongs to no request the trace printed every line; it prints none now.

--- a/src/soak/FaultProxy.ts
+++ b/src/soak/FaultProxy.ts
@@ -44,6 +44,11 @@
     for (const socket of this.#sockets) socket.resetAndDestroy()
   }
 
+  /** Local ports of the open connections. */
+  get localPorts (): ReadonlyArray<number | undefined> {
+    return [...this.#sockets].map(socket => socket.localPort)
+  }
+
   #accept (client: Socket): void {
     if (this.mode === 'reset') {
       client.resetAndDestroy()
--- a/src/soak/SoakFaults.ts
+++ b/src/soak/SoakFaults.ts
@@ -3,7 +3,7 @@
 import type { SeededRandom } from '../common/SeededRandom.js'
 import type { WorkerMode } from '../standin/PlatformWorker.js'
 import type { FaultProxy, ProxyMode } from './FaultProxy.js'
-import { DATA_CENTRES, DRAIN_MS, EVACUATION_MS, GRACE_SEC, RETRY_BURST, type SoakGateway, type SoakSite, type SoakWorker } from './SoakSite.js'
+import { CONFIG_APPLY_MS, DATA_CENTRES, DRAIN_MS, EVACUATION_MS, GRACE_SEC, RETRY_BURST, type SoakGateway, type SoakSite, type SoakWorker } from './SoakSite.js'
 import { STABLE_PERIOD_MS, Timeline } from './Timeline.js'
 
 const MEAN_FAULT_INTERVAL_MS = 900
@@ -23,6 +23,9 @@
 const EVACUATION_INTERVAL_MS = 6_000 // from the end of one to the next
 const EVACUATED_MS = 2_000 // beyond the bound
 const STORE_POLL_MS = 50
+const MAX_STORE_WAIT_MS = 6_000 // for other faults of the store to end
+const CHANGES_WITHOUT_WATCH = 7
+const CHANGE_GAP_MS = 600
 const MEAN_DOWNTIME_MS = 500 // from exit to restart of a gateway
 const WORKER_MODES: readonly WorkerMode[] = ['full', 'failing', 'losing', 'tearing', 'mute', 'confused', 'unframed', 'unframed head', 'unframed whole']
 const PROXY_MODES: readonly ProxyMode[] = ['reset', 'drop-to-target', 'drop-to-client', 'drop-all']
@@ -49,8 +52,8 @@
   async run (seconds: number): Promise<void> {
     const end = performance.now() + seconds * 1_000 - FAULT_FREE_TAIL_MS
     const kinds = [
-      this.#kill, this.#stop, this.#pause, this.#reload, this.#killAll, this.#store, this.#restoreStore, this.#storeLink, this.#callerLink, this.#workerLink,
-      this.#workerFault, this.#refuse, this.#crash, this.#leave, this.#publish, this.#publish
+      this.#kill, this.#stop, this.#pause, this.#reload, this.#killAll, this.#store, this.#restoreStore, this.#storeLink, this.#watches,
+      this.#callerLink, this.#workerLink, this.#workerFault, this.#refuse, this.#crash, this.#leave, this.#publish, this.#publish
     ]
     const running: Array<Promise<void>> = [this.#evacuateInTurn(end)]
     let remainingKinds: Array<typeof kinds[number]> = []
@@ -208,6 +211,34 @@
     await this.#withFreeTarget('store link', this.#site.gateways, async g => { await this.#disturbLink(g.storeProxy) })
   }
 
+  /** Cuts all gateways that watch what the operator writes off from the store at once, while configurations follow each other; the store has no other fault. */
+  async #watches (): Promise<void> {
+    const isFree = (): boolean => !['store', ...this.#site.watching.map(g => g.name)].some(name => this.#busy.has(name))
+    const waitUntil = performance.now() + MAX_STORE_WAIT_MS
+    while (!isFree() && performance.now() < waitUntil) await sleep(STORE_POLL_MS)
+    const { watching, gateways } = this.#site
+    if (!isFree() || watching.length === 0 || watching.length > gateways.length / 2) return
+    const names = watching.map(g => g.name)
+    this.#countFault('watches')
+    for (const name of ['store', ...names]) this.#busy.add(name)
+    await this.timeline.during('store link', names, async () => { await this.#publishWithout(watching) })
+    for (const name of ['store', ...names]) this.#busy.delete(name)
+  }
+
+  /** Publishes configurations while these gateways don't reach the store. */
+  async #publishWithout (gateways: readonly SoakGateway[]): Promise<void> {
+    for (const g of gateways) g.storeProxy.mode = 'drop-all'
+    for (let i = 0; i < CHANGES_WITHOUT_WATCH; i++) {
+      await this.#publish()
+      await sleep(CHANGE_GAP_MS)
+    }
+    await sleep(CONFIG_APPLY_MS)
+    for (const g of gateways) {
+      g.storeProxy.mode = 'forward'
+      g.storeProxy.reset()
+    }
+  }
+
   async #callerLink (): Promise<void> {
     await this.#withFreeTarget('caller link', this.#site.gateways, async g => { await this.#disturbLink(g.callerProxy) })
   }
--- a/src/soak/SoakSite.ts
+++ b/src/soak/SoakSite.ts
@@ -104,6 +104,12 @@
     return this.gateways.slice(0, SEEDS)
   }
 
+  /** Gateways that wait for changes of what the operator writes. */
+  get watching (): readonly SoakGateway[] {
+    const ports = this.store.watchingPorts
+    return this.gateways.filter(g => g.storeProxy.localPorts.some(port => ports.has(port)))
+  }
+
   /** Starts all parts, or all but the seeds, and waits until each gateway is ready or the start timeout has passed. */
   async start (withSeeds: boolean): Promise<void> {
     const storePort = await this.store.listen()
@@ -209,7 +215,7 @@
   writeSettings (g: SoakGateway, retryBurst: number, bootstrap = false): void {
     const dataCentre = DATA_CENTRES[this.gateways.indexOf(g) % DATA_CENTRES.length]!
     const seeds = this.seeds.map(s => s.address)
-    const bounds = { drainMs: DRAIN_MS, graceSec: GRACE_SEC, retryRatio: RETRY_RATIO, retryBurst, evacuationMs: EVACUATION_MS }
+    const bounds = { configApplyMs: CONFIG_APPLY_MS, drainMs: DRAIN_MS, graceSec: GRACE_SEC, retryRatio: RETRY_RATIO, retryBurst, evacuationMs: EVACUATION_MS }
     writeFileSync(join(this.logDir, `${g.name}.json`), settingsFileText({ ...g, dataCentre, peerPort: this.#peerPort, seeds, bootstrap, bounds }))
   }
 
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -44,7 +44,7 @@
   console.error(JSON.stringify({ first, call, runs: observed.runs.filter(r => r.id === first.id) }))
   const around = observed.timeline.events.filter(e => e.from <= first.at && e.to >= first.at - 2 * SETTLE_MS)
   for (const e of around) console.error(JSON.stringify(e))
-  for (const g of site.gateways) {
+  for (const g of first.id === '' ? [] : site.gateways) {
     const lines = readFileSync(site.processes.logFile(g.name), 'utf8').split('\n')
     lines.filter(line => line.includes(`"${first.id}"`)).slice(0, MAX_TRACE_LINES).forEach(line => console.error(line))
   }
--- a/src/standin/PlatformRecords.ts
+++ b/src/standin/PlatformRecords.ts
@@ -59,6 +59,8 @@
   readonly graceSec: number
   readonly retryRatio: number
   readonly retryBurst: number
+  /** Absent for the gateway's default. */
+  readonly configApplyMs?: number
   /** Absent where data centres are never evacuated. */
   readonly evacuationMs?: number
 }
@@ -82,7 +84,7 @@
 
 /** Text of a settings file in the format of the template in deploy/. */
 export function settingsFileText (spec: GatewaySettingsSpec): string {
-  const { drainMs, graceSec, retryRatio, retryBurst, evacuationMs } = spec.bounds
+  const { configApplyMs, drainMs, graceSec, retryRatio, retryBurst, evacuationMs } = spec.bounds
   return JSON.stringify({
     node_name: spec.name,
     ip: spec.address,
@@ -92,7 +94,14 @@
     bootstrap: spec.bootstrap,
     listen: { frontend: `${spec.address}:${spec.frontPort}`, readiness: `${spec.address}:${spec.readinessPort}` },
     platform: { address: `127.0.0.1:${spec.storePort}` },
-    bounds: { drain_ms: drainMs, grace_s: graceSec, retry_budget_ratio: retryRatio, retry_burst: retryBurst, evacuation_ms: evacuationMs },
+    bounds: {
+      config_apply_ms: configApplyMs,
+      drain_ms: drainMs,
+      grace_s: graceSec,
+      retry_budget_ratio: retryRatio,
+      retry_burst: retryBurst,
+      evacuation_ms: evacuationMs
+    },
     limits: spec.limits === undefined ? undefined : { memory_mb: spec.limits.memoryMb, max_fds: spec.limits.maxDescriptors }
   })
 }
--- a/src/standin/PlatformStore.ts
+++ b/src/standin/PlatformStore.ts
@@ -93,6 +93,11 @@
     this.#era++
   }
 
+  /** Ports of the clients that wait for changes. */
+  get watchingPorts (): ReadonlySet<number | undefined> {
+    return new Set(this.#watches.map(({ res }) => res.req.socket.remotePort))
+  }
+
   #serve (url: URL, res: ServerResponse): void {
     const kind = url.pathname.slice('/v1/kv-'.length)
     this.callCounts.set(kind, (this.callCounts.get(kind) ?? 0) + 1)
