The voted file is in force in time when those that watch the platform have lost it

When these two lose the platform and live on, no other instance of the fleet learns of a new file for up to that minute; the guarantee says 4 s.

Cause: the same as in the gateway. Whoever waits for others has nothing that tells how old their knowledge is, and no time after which it reads by itself. A relay's watch, which waited for 20 s and timed out after 23, couldn't have told either.

Change: the schedule of the gateway's reads (ConfigSchedule), with 4 s. Relays watch for 2.4 s; others ask them for the age of their confirmation, and read when it comes too late. The age goes over the peers' calls, not in the digest: instances of before refuse a datagram with a field that they don't know.

Test: ConfigTask.test.ts, in virtual time, failed before (0 of 4 others had the file after 4 s); now all four have it. In a sound fleet only the two relays call the platform: a call in 2.4 s each, where it was one in 20 s. The time that the answer to a watch is old has one function for both interfaces.

--- a/src/common/config/ConfigJoin.ts
+++ b/src/common/config/ConfigJoin.ts
@@ -20,6 +20,14 @@
   readonly manifest: readonly string[]
 }
 
+/** The file in force, and when it was the platform's latest. */
+export interface ConfigConfirmation {
+  readonly revision: number
+  readonly digest: string
+  /** Time in ms since the platform is known to have had no newer valid file. */
+  readonly ageMs: number
+}
+
 /** A revision that failed validation, with its errors. */
 export interface RejectedVersion {
   readonly revision: number
--- a/src/common/peers/ConfigSchedule.ts
+++ b/src/common/peers/ConfigSchedule.ts
@@ -12,6 +12,8 @@
 const MIN_BOUND_MS = 500 // limits the calls to the platform
 const MAX_BOUND_MS = 8_000 // limits how long a dead connection stays unnoticed
 
+const TIMER_TOLERANCE_MS = 50 // by which the platform's timers may be ahead of an instance's
+
 /** Ranks of the instances that have an order among the readers: the one that watches, and its standbys. */
 export const READER_RANKS = 1 + STANDBY_FRACTIONS.length
 
@@ -42,3 +44,12 @@
     return this.#boundMs * (STANDBY_FRACTIONS[Math.max(0, rank - 1)] ?? LAST_FRACTION + LAST_SPREAD * jitter)
   }
 }
+
+/**
+ * Time since the platform is known to have had nothing newer than the answer to a watch. It held an answer without changes back for the whole wait;
+ * any other may have been on its way since the watch began, as when the process stood still.
+ */
+export function ageAfterWatch (elapsedMs: number, { waitMs }: WatchTimes, hasChanges: boolean): number {
+  const isHeldBack = !hasChanges && elapsedMs > waitMs - TIMER_TOLERANCE_MS
+  return isHeldBack ? Math.max(0, elapsedMs - waitMs) : elapsedMs
+}
--- a/src/platform/StoreReaders.ts
+++ b/src/platform/StoreReaders.ts
@@ -4,7 +4,7 @@
 import { Disposable } from '../common/Disposable.js'
 import type { ListVersion } from '../common/generated/PeerDatagram.js'
 import { compareVersions } from '../common/peers/ListVersion.js'
-import type { WatchTimes } from '../common/peers/ConfigSchedule.js'
+import { ageAfterWatch, type WatchTimes } from '../common/peers/ConfigSchedule.js'
 import type { EndpointList, RoutingConfig } from '../common/routing/Types.js'
 import type { IEvent, IRandom } from '../common/Services.js'
 import type { Log } from '../router/telemetry/Log.js'
@@ -13,7 +13,6 @@
 
 const UNPUBLISHED_POLL_INTERVAL_MS = 400
 const MIN_PAUSE_MS = 50 // between two calls, whatever the answer was
-const TIMER_TOLERANCE_MS = 50 // by which the store's timers may be ahead of this process's
 const MIN_BACKOFF_MS = 150
 const MAX_BACKOFF_MS = 1_200
 
@@ -171,7 +170,7 @@
     const { version } = read.value
     const elapsedMs = performance.now() - startedAt
     if (position === undefined) return this.#applyAll(read.value, elapsedMs)
-    this.#applyChanges(position, read.value, watchAgeMs(read.value, elapsedMs, times))
+    this.#applyChanges(position, read.value, ageAfterWatch(elapsedMs, times, hasChanges(read.value)))
     if (position.epoch !== version.epoch) return this.#onRestored(position, version)
     if (read.value.isPartial === true && this.receiver.followsEvacuations) return this.#onPartial()
     const hasWaited = elapsedMs > times.waitMs / 2
@@ -266,15 +265,6 @@
   return items.length > 0 || (deleted?.length ?? 0) > 0
 }
 
-/**
- * Time since the store is known to have had nothing newer than the answer to a watch. The store held an empty answer back for the whole wait;
- * any other may have been on its way since the watch began, as when this process stood still.
- */
-function watchAgeMs (read: StoreRead, elapsedMs: number, { waitMs }: WatchTimes): number {
-  const isHeldBack = !hasChanges(read) && elapsedMs > waitMs - TIMER_TOLERANCE_MS
-  return isHeldBack ? Math.max(0, elapsedMs - waitMs) : elapsedMs
-}
-
 function evacuatedIn (read: StoreRead): string[] {
   return read.items.map(item => parseEvacuation(item.key)).filter(dataCentre => dataCentre !== undefined)
 }
--- a/src/router/Router.ts
+++ b/src/router/Router.ts
@@ -144,6 +144,10 @@
     }
   }
 
+  confirmation (): ReturnType<ConfigTask['confirmation']> {
+    return this.#config.confirmation()
+  }
+
   manifest (): ReturnType<ConfigTask['manifest']> {
     return this.#config.manifest()
   }
--- a/src/router/configuration/ConfigTask.ts
+++ b/src/router/configuration/ConfigTask.ts
@@ -1,16 +1,19 @@
 /**
  * Keeps the active configuration current: the relays of a data centre watch the platform; all other instances see a new
- * revision in a peer's gossip digest and fetch the missing parts from that peer. Nothing is written to disk or to the platform.
+ * revision in a peer's gossip digest and fetch the missing parts from that peer. An instance whose configuration no relay confirms in time
+ * reads the platform itself. Nothing is written to disk or to the platform.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Disposable } from '../../common/Disposable.js'
 import { Emitter } from '../../common/Emitter.js'
-import { joinVersions, supersedes, type ConfigManifest, type ConfigVersion, type RejectedVersion } from '../../common/config/ConfigJoin.js'
+import { joinVersions, supersedes, type ConfigConfirmation, type ConfigManifest, type ConfigVersion, type RejectedVersion } from '../../common/config/ConfigJoin.js'
 import { joinParts, splitText, type SplitFile } from '../../common/config/ConfigParts.js'
 import { checkFileText } from '../../common/config/FileChecks.js'
 import { VotedConfig } from '../../common/config/VotedConfig.js'
 import type { InstanceDigest } from '../../common/generated/PeerDatagram.js'
 import { hashString } from '../../common/Hash.js'
+import { ageAfterWatch, ConfigSchedule, type WatchTimes } from '../../common/peers/ConfigSchedule.js'
+import { instanceJitter } from '../../common/peers/ReaderElection.js'
 import { rankTop } from '../../common/Rendezvous.js'
 import type { IClock } from '../../common/Services.js'
 import { sha256 } from '../fleet/Crypto.js'
@@ -20,11 +23,15 @@
 import type { PeerApiClients } from '../fleet/PeerApi.js'
 import type { PlatformClient } from './PlatformClient.js'
 
-const WATCH_TIMEOUT_MS = 20_000
+const IN_FORCE_MS = 4_000 // until an accepted file must be in force everywhere
 const RELAYS_PER_DATA_CENTRE = 2
+const STANDBYS_PER_DATA_CENTRE = 2
+const MIN_QUERY_INTERVAL_MS = 100
+const RELAY_QUERY_AGE_MS = 1_000 // younger configurations need no confirmation
 const RELAY_TERM_MS = 60_000 // relays rotate to spread the cost of full reads over all instances
 const ROLE_CHECK_INTERVAL_MS = 500
 const RETRY_DELAY_MS = 300
+const STANDBY_RETRY_DELAY_MS = 2_000 // longer than a relay's, so that not all instances call a platform that is down
 const PART_HASH_LENGTH = 12 // 72 bits; the digest of the whole file is verified as well
 const START_ATTEMPTS = 10
 
@@ -40,8 +47,11 @@
   #current: VotedConfig | undefined
   #split: SplitFile = { manifest: [], parts: new Map() }
   #rejected: RejectedVersion | undefined
+  readonly #schedule = new ConfigSchedule(IN_FORCE_MS)
   #platformRevision = -1
+  #confirmedAt = -Infinity
   #fetching = false
+  #asking = false
 
   /** Fires when another configuration becomes active. */
   readonly onChange = this.#changed.event
@@ -77,6 +87,12 @@
     return version === undefined ? undefined : { revision: version.revision, digest: version.digest, manifest: this.#split.manifest }
   }
 
+  /** The active configuration and the age of its confirmation. */
+  confirmation (): ConfigConfirmation | undefined {
+    const version = this.#current?.version
+    return version === undefined ? undefined : { revision: version.revision, digest: version.digest, ageMs: this.#ageMs }
+  }
+
   /** Parts by their hash; unknown hashes are skipped. */
   parts (ids: readonly string[]): Array<readonly [string, string]> {
     return ids.flatMap(id => {
@@ -121,40 +137,93 @@
     this.#changed.fire(this.#current)
   }
 
-  #isRelay (): boolean {
+  /** Time since the platform is known to have had no newer valid file than the active one. */
+  get #ageMs (): number {
+    return this.#clock.nowMs() - this.#confirmedAt
+  }
+
+  #confirm (ageMs: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, this.#clock.nowMs() - ageMs)
+  }
+
+  /** The relays of this data centre, then the standbys that read first when no relay confirms the configuration. */
+  #readers (): readonly string[] {
     const fleet = this.#fleet!
     const term = Math.floor(this.#clock.wallMs() / RELAY_TERM_MS)
     const candidates = fleet.usableInstances(fleet.self.dataCentre).map(id => ({ id, hash: hashString(id), weight: 1 }))
-    return rankTop(hashString(`relay:${term}`), candidates, RELAYS_PER_DATA_CENTRE).some(c => c.id === fleet.self.id)
+    return rankTop(hashString(`relay:${term}`), candidates, RELAYS_PER_DATA_CENTRE + STANDBYS_PER_DATA_CENTRE).map(c => c.id)
   }
 
   async #watch (): Promise<void> {
     while (!this.isDisposed) {
-      if (!this.#isRelay() && this.#current !== undefined) {
-        await sleep(ROLE_CHECK_INTERVAL_MS)
-        continue
-      }
-      const before = this.#platformRevision
-      const startedAt = performance.now()
-      const read = await this.#platform.revision(before, WATCH_TIMEOUT_MS)
-      if (this.isDisposed) return
-      if (read.isErr()) {
-        this.#log.debug({ ...read.error }, 'cannot read the platform')
-        await sleep(RETRY_DELAY_MS)
-        if (this.#current === undefined) await this.#fetchFromPeers()
-      } else {
-        if (read.value !== before) await this.#readPlatform()
-        const hasWaited = performance.now() - startedAt >= RETRY_DELAY_MS
-        if (!hasWaited && this.#platformRevision === before) await sleep(RETRY_DELAY_MS)
-      }
+      const readers = this.#readers()
+      const rank = readers.indexOf(this.#fleet!.self.id)
+      const isRelay = rank >= 0 && rank < RELAYS_PER_DATA_CENTRE
+      if (isRelay || this.#current === undefined) await this.#watchPlatform(this.#schedule.watch(this.#ageMs))
+      else await this.#followRelays(readers.slice(0, RELAYS_PER_DATA_CENTRE), rank === -1 ? readers.length : rank - RELAYS_PER_DATA_CENTRE + 1)
+    }
+  }
+
+  /** Waits for a change of the platform's file, and reads it. Returns false when the platform can't be read. */
+  async #watchPlatform (times: WatchTimes): Promise<boolean> {
+    const before = this.#platformRevision
+    const startedAt = performance.now()
+    const read = await this.#platform.revision(before, times)
+    if (this.isDisposed) return false
+    if (read.isErr()) {
+      this.#log.debug({ ...read.error }, 'cannot read the platform')
+      await sleep(RETRY_DELAY_MS)
+      if (this.#current === undefined) await this.#fetchFromPeers()
+      return false
+    }
+    const elapsedMs = performance.now() - startedAt
+    if (read.value !== before) await this.#readPlatform()
+    else this.#confirm(ageAfterWatch(elapsedMs, times, false))
+    if (elapsedMs < RETRY_DELAY_MS && this.#platformRevision === before) await sleep(RETRY_DELAY_MS)
+    return true
+  }
+
+  /** Has the configuration confirmed by a relay, or reads the platform when that comes too late. @param rank place among the standbys, from 1. */
+  async #followRelays (relays: readonly string[], rank: number): Promise<void> {
+    const readAgeMs = this.#schedule.readAgeMs(rank, instanceJitter(this.#fleet!.self.id))
+    const leftMs = Math.max(0, readAgeMs - this.#ageMs)
+    await sleep(Math.min(ROLE_CHECK_INTERVAL_MS, leftMs, Math.max(MIN_QUERY_INTERVAL_MS, leftMs / 2))) // asks more often as the time runs out
+    if (this.isDisposed) return
+    if (this.#ageMs < readAgeMs) {
+      if (this.#ageMs > RELAY_QUERY_AGE_MS) this.#askRelays(relays).catch((e: unknown) => this.#log.error({ step: 'config', err: String(e) }, 'relays not asked'))
+    } else {
+      this.#log.info({ step: 'config', ageMs: Math.round(this.#ageMs) }, 'file not confirmed in time, reads the platform')
+      const isRead = await this.#watchPlatform(this.#schedule.watch(Infinity))
+      if (!isRead) await sleep(STANDBY_RETRY_DELAY_MS)
+    }
+  }
+
+  /** Asks the relays for the age of their configuration, once at a time. */
+  async #askRelays (relays: readonly string[]): Promise<void> {
+    if (this.#asking) return
+    this.#asking = true
+    await Promise.all(relays.map(id => this.#askRelay(id)))
+    this.#asking = false
+  }
+
+  async #askRelay (id: string): Promise<void> {
+    const startedAt = performance.now()
+    try {
+      const remote = await this.#peers!.forInstance(id)?.config.confirmation.query()
+      const active = this.#current?.version
+      if (remote?.revision === active?.revision && remote?.digest === active?.digest) this.#confirm((remote?.ageMs ?? Infinity) + performance.now() - startedAt)
+    } catch (e) {
+      this.#log.debug({ step: 'config', peer: id, err: String(e) }, 'relay gave no confirmation')
     }
   }
 
   async #readPlatform (): Promise<boolean> {
+    const startedAt = performance.now()
     const read = await this.#platform.file()
     if (read.isErr() || this.isDisposed) return false
     this.#platformRevision = read.value.revision
     this.apply(read.value.text, read.value.revision, 'platform')
+    this.#confirm(performance.now() - startedAt)
     return true
   }
 
--- a/src/router/configuration/PlatformClient.ts
+++ b/src/router/configuration/PlatformClient.ts
@@ -2,6 +2,7 @@
 import { err, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
 import { readText } from '../../common/http/BoundedText.js'
+import type { WatchTimes } from '../../common/peers/ConfigSchedule.js'
 import type { PlatformList } from '../../common/Types.js'
 import type { LinkFilter } from '../fleet/LinkFilter.js'
 import type { Metrics } from '../telemetry/Metrics.js'
@@ -39,18 +40,18 @@
     this.#links = links
   }
 
-  /** Long-polls up to `waitMs` for a configuration revision other than `after`. */
-  async revision (after: number, waitMs: number): Promise<Result<number, PlatformError>> {
-    return await this.#get(`/v1/config/revision?after=${after}&waitMs=${waitMs}`, 'watch', waitMs, body => {
+  /** Long-polls for a configuration revision other than `after`. */
+  async revision (after: number, { waitMs, timeoutMs }: WatchTimes): Promise<Result<number, PlatformError>> {
+    return await this.#get(`/v1/config/revision?after=${after}&waitMs=${waitMs}`, 'watch', timeoutMs, body => {
       const revision = (JSON.parse(body.text) as { readonly revision?: unknown }).revision
       if (typeof revision !== 'number') throw new Error('revision is missing or not a number')
       return revision
-    })
+    }, AbortSignal.timeout(timeoutMs)) // the client's own timeouts are up to a second late
   }
 
   /** Reads the latest configuration. */
   async file (): Promise<Result<PublishedFile, PlatformError>> {
-    return await this.#get('/v1/config', 'config', 0, body => {
+    return await this.#get('/v1/config', 'config', RESPONSE_TIMEOUT_MS, body => {
       if (!Number.isFinite(body.revision)) throw new Error('header x-revision is missing or not a number')
       return body
     })
@@ -58,7 +59,7 @@
 
   /** Long-polls up to `waitMs` for a list whose revision differs from `after`. */
   async list (after: number, waitMs: number): Promise<Result<PlatformList, PlatformError>> {
-    return await this.#get(`/v1/list?after=${after}&waitMs=${waitMs}`, 'list', waitMs, body => {
+    return await this.#get(`/v1/list?after=${after}&waitMs=${waitMs}`, 'list', waitMs + RESPONSE_TIMEOUT_MS, body => {
       const list = JSON.parse(body.text) as Partial<PlatformList>
       if (!Array.isArray(list.instances) || !Array.isArray(list.endpoints) || typeof list.revision !== 'number') throw new Error('malformed instance list')
       return list as PlatformList
@@ -70,11 +71,12 @@
     await this.#agent.destroy()
   }
 
-  async #get<T> (path: string, kind: string, waitMs: number, parse: (body: PublishedFile) => T): Promise<Result<T, PlatformError>> {
+  async #get<T> (path: string, kind: string, timeoutMs: number, parse: (body: PublishedFile) => T, signal?: AbortSignal): Promise<Result<T, PlatformError>> {
     if (!this.#links.passes('platform')) return err(platformError('connect', 'link is down'))
     this.#metrics.platformReads.inc({ kind })
     const read = async (): Promise<T> => {
-      const res = await request(this.#base + path, { dispatcher: this.#agent, headersTimeout: waitMs + RESPONSE_TIMEOUT_MS, bodyTimeout: RESPONSE_TIMEOUT_MS })
+      const timeouts = { headersTimeout: timeoutMs, bodyTimeout: RESPONSE_TIMEOUT_MS, signal: signal ?? null }
+      const res = await request(this.#base + path, { dispatcher: this.#agent, ...timeouts })
       const text = await readText(res.body, MAX_RESPONSE_BYTES)
       if (res.statusCode !== 200) throw new Error(`status ${res.statusCode}`)
       return parse({ text, revision: Number(res.headers['x-revision']) })
--- a/src/router/fleet/PeerApi.ts
+++ b/src/router/fleet/PeerApi.ts
@@ -2,7 +2,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client'
 import { initTRPC, TRPCError } from '@trpc/server'
 import { HEADER } from '../../common/Constants.js'
-import type { ConfigManifest, RejectedVersion } from '../../common/config/ConfigJoin.js'
+import type { ConfigConfirmation, ConfigManifest, RejectedVersion } from '../../common/config/ConfigJoin.js'
 import type { ChatEntry } from '../../common/placement/ChatDirectory.js'
 import type { InstanceAddress, MemberState, PlatformList } from '../../common/Types.js'
 import { constantTimeEqual } from './Crypto.js'
@@ -54,6 +54,7 @@
 /** Implementation of the API's procedures. */
 export interface IPeerApiHost {
   manifest (): ConfigManifest | undefined
+  confirmation (): ConfigConfirmation | undefined
   parts (ids: readonly string[]): ReadonlyArray<readonly [string, string]>
   list (): PlatformList | undefined
   status (): NodeStatus
@@ -103,6 +104,7 @@
   return t.router({
     config: t.router({
       manifest: procedure.query(() => host.manifest() ?? null),
+      confirmation: procedure.query(() => host.confirmation() ?? null),
       parts: procedure.input(input => ({ ids: textListField(asObject(input), 'ids') })).query(({ input }) => host.parts(input.ids))
     }),
     list: t.router({ get: procedure.query(() => host.list() ?? null) }),
